--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -125,6 +125,8 @@
                 return
             while await self._serve_request(conn):
                 conn.http.h11.start_next_cycle()
+            if conn.idle:
+                return  # A request that crosses the close was not read.
             async with self._parts.activity:
                 await linger(conn.http, conn.stream, self._clock)
         except (SassafraskeelError, PeerLeft) as exc:
@@ -155,6 +157,7 @@
                 conn.http, conn.stream, self._clock, self._interface.limits()
             )
         except Refusal as refusal:
+            conn.idle = False
             await self._send(conn, self._interface.refusal(refusal, None, ""))
             return False
         if request is None:
--- a/sassafraskeel/core/http_requests.py
+++ b/sassafraskeel/core/http_requests.py
@@ -94,7 +94,7 @@
     Closing a socket with unread data resets the connection, and a reset discards
     an answer that the client has not read yet (RFC 9112, section 9.6).
     """
-    if http.is_received():
+    if http.is_received() or http.h11.their_state in (h11.MUST_CLOSE, h11.CLOSED):
         return
     size = 0
     try:
