--- a/sassafraskeel/calls/route_dispatcher.py
+++ b/sassafraskeel/calls/route_dispatcher.py
@@ -135,6 +135,8 @@
                 continue
             if answer.head.status < FAILURE_STATUS or not self._may_repeat(call, tried):
                 return answer
+            if failed is not None:
+                return answer  # Most calls that fail twice fail every time.
             tried.failed.add(place.name)
             failed = answer
 
@@ -311,24 +313,22 @@
         health, fleet = self._beliefs.health, self._beliefs.fleet
         if refusal.reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT):
             health.failed(place.name, now)
-            if isinstance(refusal.__cause__, ConnectionLost | TimedOut):
-                # It may have restarted, and is cold then.
-                self._suspect_restart(place.replica, refusal, now)
+            lost = isinstance(refusal.__cause__, ConnectionLost | TimedOut)
+            if lost and refusal.outcome is Outcome.NOT_RUN:
+                # No connection could be opened; it may come back cold.
+                fleet.chill(place.name, now)
         elif refusal.reason is Reason.NO_UPSTREAM and fleet.takes_work(
             place.replica, now
         ):
             # Another replica has the address; the entry is about to change.
             health.failed(place.name, now)
 
-    def _suspect_restart(self, replica: Replica, refusal: Refusal, now: float) -> None:
-        if refusal.outcome is Outcome.NOT_RUN:
-            self._beliefs.fleet.chill(replica.name, now)
-
     def _note_alive(self, replica: Replica) -> None:
         now = self._clock.monotonic()
         health = self._beliefs.health
         if health.is_failing(replica.name):
             health.succeeded(replica.name, now)
+            self._beliefs.fleet.chill(replica.name, now)
 
     def _log_attempt(self, call, place, refusal, tried) -> None:
         self._log.emit(
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -1,6 +1,7 @@
 """Finding the replica or the region where a call of a route runs."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from sassafraskeel.calls.slots import SlotQueues, Wanted
@@ -25,12 +26,14 @@
 from sassafraskeel.decisions.prompts import PromptCaches, preferred, shared_tokens
 
 QUEUE_LENGTH = 512
-# Replicas that are known but may not be used, such as cold ones, may become usable.
-NO_REPLICA_WAIT_SECONDS = 0.3
+# Replicas that are known but may not be used, such as cold ones, may become usable,
+# and those of a zone that crashed together are back after some seconds.
+NO_REPLICA_WAIT_SECONDS = 1.0
 NO_REPLICA_POLL_SECONDS = 0.05
 # A replica that just answered with a failure may do so again.
 SOFT_FAILURE_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 0.5
+NO_REPLICA_RETRY_SECONDS = 2.0
 
 
 class RoutePlace(NamedTuple):
@@ -82,7 +85,14 @@
 class RoutePlacement:
     """Chooses places by predicted time and keeps account of slots."""
 
-    def __init__(self, clock: Clock, rng: random.Random, beliefs: Beliefs):
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        beliefs: Beliefs,
+        spares: Callable[[HostInfo], int] = lambda host: 0,
+    ):
+        self._spares = spares
         self._clock = clock
         self._rng = rng
         self._beliefs = beliefs
@@ -111,7 +121,7 @@
                 continue
             if now >= min(waited_until, call.expires):
                 detail = f"no replica of {call.service} can be used"
-                raise not_run(Reason.NO_UPSTREAM, detail, RETRY_AFTER_SECONDS)
+                raise not_run(Reason.NO_UPSTREAM, detail, NO_REPLICA_RETRY_SECONDS)
             await self._clock.sleep(NO_REPLICA_POLL_SECONDS)
 
     async def leave(self, place: RoutePlace, service: str) -> None:
@@ -222,15 +232,20 @@
                 self._option(call, replica, tried, now).seconds
                 for replica in beliefs.fleet.replicas(call.service, now)
                 if beliefs.fleet.region_of(replica.zone) == region
-                and not beliefs.fleet.is_cold(replica, now)
+                and not beliefs.fleet.says_cold(replica, now)
                 and (not free or self._is_free(replica, now))
             ]
             if hosts and options:
                 seconds = min(options) + REGION_SECONDS
                 if best is None or seconds < best[0]:
-                    best = seconds, self._rng.choice(hosts)
+                    best = seconds, self._choose_host(hosts)
         return best
 
+    def _choose_host(self, hosts: list[HostInfo]) -> HostInfo:
+        """Return one of the hosts to which a connection is open, if there is one."""
+        ready = [host for host in hosts if self._spares(host)]
+        return self._rng.choice(ready or hosts)
+
     def _option(self, call, replica, tried, now) -> Option:
         beliefs = self._beliefs
         seconds = predicted_seconds(
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -155,6 +155,22 @@
             return False
         return now < max(replica.cold_until, self._cold.get(replica.name, 0.0))
 
+    def says_cold(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica said that it is cold."""
+        return now < replica.cold_until
+
+    def suspected_cold(self, now: float) -> list[Replica]:
+        """Return the replicas that may be cold, without having said so."""
+        return [
+            replica
+            for name, until in self._cold.items()
+            if now < until and (replica := self._replicas.get(name)) is not None
+        ]
+
+    def warm(self, name: str) -> None:
+        """Note that a replica says that it is not cold."""
+        self._cold.pop(name, None)
+
     def get(self, name: str) -> Replica | None:
         """Return a replica, whether it takes work or not."""
         return self._replicas.get(name)
--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding a call to another host over a pooled call connection."""
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from sassafraskeel.core.clock import Clock
@@ -147,7 +148,6 @@
         self._network = network
         self._sheet_version = sheet_version
         self._pools: dict[HostInfo, CallConnections] = {}
-        self._dialling: set[HostInfo] = set()
 
     async def send(self, host: HostInfo, call: Call, body: bytes):
         """Return the answer of another host to a call.
@@ -235,8 +235,27 @@
 
     The sender has checked that the receiver's region may hold the call, and a round
     trip between regions takes a third of the time in which an answer is wanted.
+    `wake` is called when a spare connection was used.
     """
 
+    def __init__(
+        self,
+        cfg: GatewaySection,
+        own: HostInfo,
+        clock: Clock,
+        network: Network,
+        version,
+        wake: Callable[[], Awaitable[None]],
+    ):
+        super().__init__(cfg, own, clock, network, version)
+        self._wake = wake
+        self._dialling: set[HostInfo] = set()
+
+    def spares(self, host: HostInfo) -> int:
+        """Return how many open connections to a host are not in use."""
+        pool = self._pools.get(host)
+        return pool.fresh() if pool else 0
+
     async def keep_spares(self, hosts: list[HostInfo], group: Group) -> None:
         """Open a spare connection to each host that has none, and drop other hosts.
 
@@ -262,17 +281,12 @@
 
     async def send(self, host: HostInfo, call: Call, body: bytes):
         """Return the answer of another host to a call; raise Refusal."""
+        conn = await self._take(host, call)
+        # Dialling may have taken a good part of the time that was left.
         remaining = call.expires - self._clock.monotonic()
         offer = route_offer_of(call, remaining)
-        pool = self._pools.setdefault(host, CallConnections(self._clock))
-        bound = min(remaining, ACCEPT_TIMEOUT_SECONDS)
-        try:
-            async with self._clock.timeout(min(remaining, CONNECT_TIMEOUT_SECONDS)):
-                conn = pool.take() or await self._connect(host)
-        except (ConnectionLost, ProtocolError, TimedOut) as exc:
-            raise not_run(Reason.PEER_UNREACHABLE, f"{host.name}: {exc}") from exc
         try:
-            async with self._clock.timeout(bound):
+            async with self._clock.timeout(min(remaining, ACCEPT_TIMEOUT_SECONDS)):
                 await conn.channel.send(offer)
                 await _send_body(conn.channel, body)
                 reply = await conn.channel.receive()
@@ -283,6 +297,7 @@
             await conn.channel.close()
             raise
         if isinstance(reply, Refuse):
+            pool = self._pools.setdefault(host, CallConnections(self._clock))
             await pool.release(conn)
             raise refusal_of(reply)
         if not isinstance(reply, Accept):
@@ -290,6 +305,20 @@
             raise self._lost(call, host, "wrong message")
         return await self._finish(host, call, conn, None)
 
+    async def _take(self, host: HostInfo, call: Call) -> CallConnection:
+        pool = self._pools.setdefault(host, CallConnections(self._clock))
+        conn = pool.take()
+        if pool.fresh() < SPARE_CONNECTIONS:
+            await self._wake()
+        if conn is not None:
+            return conn
+        remaining = call.expires - self._clock.monotonic()
+        try:
+            async with self._clock.timeout(min(remaining, CONNECT_TIMEOUT_SECONDS)):
+                return await self._connect(host)
+        except (ConnectionLost, ProtocolError, TimedOut) as exc:
+            raise not_run(Reason.PEER_UNREACHABLE, f"{host.name}: {exc}") from exc
+
 
 async def _send_body(channel: Channel, body: bytes) -> None:
     start = 0
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -5,7 +5,7 @@
 from sassafraskeel.core.types import Call, Head, Headers
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.platform import wire
-from sassafraskeel.upstreams.replicas import ReplicaHead
+from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
 
 MISDIRECTED_STATUS = 421
 
@@ -33,15 +33,27 @@
         signed = bool(find_header(head.headers, wire.SIGNATURE))
         if head.status < 300 and not signed:
             raise ProtocolError("a success without the replica's signature")
-        cold = find_header(head.headers, wire.COLD)
         return ReplicaHead(
             head=head,
             executed=not (misdirected or not_executed),
             misdirected=misdirected,
             requests=_requests(find_header(head.headers, wire.REPLICA_LOAD)),
-            cold_seconds=int(cold) / 1000 if cold.isdecimal() else 0.0,
+            cold_seconds=_cold_seconds(head),
         )
 
+    def read_health(self, head: Head) -> ReplicaHealth:
+        return ReplicaHealth(
+            name=find_header(head.headers, wire.REPLICA_ID),
+            healthy=head.status == 200,
+            cold_seconds=_cold_seconds(head),
+        )
+
+
+def _cold_seconds(head: Head) -> float:
+    # Milliseconds for which the replica stays cold.
+    text = find_header(head.headers, wire.COLD)
+    return int(text) / 1000 if text.isdecimal() else 0.0
+
 
 def _requests(text: str) -> int | None:
     """Return the running and waiting requests of a load header."""
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -11,6 +11,8 @@
 # A replica's signature of an answer.
 SIGNATURE = b"x-sassafraskeel-response-stamp"
 EXPECTED_REPLICA = b"x-sassafraskeel-expect-instance"
+# The id of the replica that answers a health check.
+REPLICA_ID = b"x-sassafraskeel-instance-id"
 NOT_EXECUTED = b"x-sassafraskeel-not-executed"
 # Running and waiting requests, and slots.
 REPLICA_LOAD = b"x-sassafraskeel-server-load"
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -4,6 +4,8 @@
 from functools import partial
 from typing import NamedTuple, Protocol
 
+import curio
+
 from sassafraskeel.callers.interface import CallerInterface, MetricsInterface
 from sassafraskeel.callers.server import CallerParts, CallerServer
 from sassafraskeel.calls.activity import Activity
@@ -40,6 +42,7 @@
 from sassafraskeel.store.follower import StoreFollower
 from sassafraskeel.store.registration import Registration
 from sassafraskeel.upstreams.pool import ConnectionPool
+from sassafraskeel.upstreams.probes import ColdProbes
 from sassafraskeel.upstreams.replicas import (
     ReplicaCarrier,
     ReplicaHead,
@@ -93,6 +96,7 @@
         self.clock, self.log = env.clock, env.log
         self._group = Group(self._log_failure)
         self._started = False
+        self._wake = curio.Event()
         own = HostInfo(
             cfg.host.name,
             cfg.host.domain,
@@ -168,8 +172,19 @@
             env.clock,
             env.network,
             lambda: self.fleet.version,
+            self._wake.set,
+        )
+        self._probes = ColdProbes(
+            cfg.regions.get(cfg.host.domain, ""),
+            self.fleet,
+            env.replicas,
+            env.clock,
+            env.network,
+            env.log,
+        )
+        self.placement = RoutePlacement(
+            env.clock, env.rng, self._beliefs, self._forwarder.spares
         )
-        self.placement = RoutePlacement(env.clock, env.rng, self._beliefs)
         self.dispatcher = RouteDispatcher(
             env.clock,
             env.log,
@@ -245,6 +260,7 @@
                 await server.start(self._group)
             await self._group.spawn(self.follower.run)
             await self._group.spawn(self._registration.run)
+            await self._group.spawn(self._probes.run, self._group)
             await self._links.start()
             await self._group.spawn(self._keep_links)
         except BaseException:
@@ -299,18 +315,23 @@
         await self._pool.close()
         self.log.emit(Event.HOST_CLOSED)
 
-    async def _within(self, seconds: float, function, *args) -> None:
+    async def _within(
+        self, seconds: float, function, *args, is_expected: bool = False
+    ) -> None:
+        """Call a function with a bound on its time, and log if it was not enough."""
         try:
             async with self.clock.timeout(max(seconds, 0)):
                 await function(*args)
         except TimedOut as exc:
-            self._log_failure(exc)
+            if not is_expected:
+                self._log_failure(exc)
 
     async def _on_change(self) -> None:
         names = self.fleet.names()
         self._beliefs.loads.retain(names)
         self._beliefs.prompts.retain(names)
         self._beliefs.health.retain(names)
+        await self._wake.set()
 
     async def _keep_links(self) -> None:
         while True:
@@ -327,7 +348,8 @@
             ]
             await self._forwarder.keep_spares(remote, self._group)
             self.membership.forget(self.clock.monotonic())
-            await self.clock.sleep(LINK_INTERVAL_SECONDS)
+            await self._within(LINK_INTERVAL_SECONDS, self._wake.wait, is_expected=True)
+            self._wake.clear()
 
     async def _answer_leaving(
         self, exchange: LoadExchange, peer: HostInfo, message: Leaving
--- /dev/null
+++ b/sassafraskeel/upstreams/probes.py
@@ -0,0 +1,89 @@
+"""Asking replicas that may have restarted whether they are cold."""
+
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import SassafraskeelError
+from sassafraskeel.core.events import Event
+from sassafraskeel.core.http_client import exchange
+from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.net import Network
+from sassafraskeel.core.tasks import Group
+from sassafraskeel.core.types import Head
+from sassafraskeel.decisions.fleet import Fleet, Replica
+from sassafraskeel.upstreams.replicas import ReplicaInterface
+
+# A probe waits for a slot like any other request.
+PROBE_TIMEOUT_SECONDS = 1.0
+LOOK_SECONDS = 0.1
+MAX_ANSWER_BYTES = 64 * 1024
+
+
+class ColdProbes:
+    """Probes each replica of the own region that is only suspected of being cold.
+
+    Until a probe shows that it is warm, it gets its cold rate.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        fleet: Fleet,
+        interface: ReplicaInterface,
+        clock: Clock,
+        network: Network,
+        log: LogSink,
+    ):
+        self._region = region
+        self._fleet = fleet
+        self._interface = interface
+        self._clock = clock
+        self._network = network
+        self._log = log
+        self._probed: set[str] = set()
+
+    async def run(self, group: Group) -> None:
+        """Look for suspected replicas again and again; never returns."""
+        while True:
+            now = self._clock.monotonic()
+            suspected = {
+                replica.name: replica
+                for replica in self._fleet.suspected_cold(now)
+                if self._fleet.region_of(replica.zone) == self._region
+            }
+            self._probed &= suspected.keys()
+            for name in suspected.keys() - self._probed:
+                self._probed.add(name)
+                await group.spawn(self._probe, suspected[name])
+            await self._clock.sleep(LOOK_SECONDS)
+
+    async def _probe(self, replica: Replica) -> None:
+        spec = self._fleet.service(replica.service)
+        if spec is None:
+            return
+        try:
+            async with self._clock.timeout(PROBE_TIMEOUT_SECONDS):
+                head, _ = await exchange(
+                    self._network,
+                    replica.address,
+                    "GET",
+                    spec.health_path,
+                    max_bytes=MAX_ANSWER_BYTES,
+                )
+        except SassafraskeelError as exc:
+            self._emit(replica, cold=None, detail=str(exc))
+            return
+        cold = self._cold_seconds(replica, head)
+        if cold == 0:
+            self._fleet.warm(replica.name)
+        self._emit(replica, cold=cold, detail="")
+
+    def _cold_seconds(self, replica: Replica, head: Head) -> float | None:
+        """Return for how long a replica stays cold, None if it does not say so."""
+        health = self._interface.read_health(head)
+        if not health.healthy or health.name != replica.name:
+            return None
+        return health.cold_seconds
+
+    def _emit(self, replica, cold, detail) -> None:
+        self._log.emit(
+            Event.COLD_PROBE, replica=replica.name, cold_seconds=cold, detail=detail
+        )
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -40,6 +40,14 @@
     cold_seconds: float
 
 
+class ReplicaHealth(NamedTuple):
+    """What a replica says when it is asked for its health."""
+
+    name: str
+    healthy: bool
+    cold_seconds: float
+
+
 class ReplicaInterface(Protocol):
     """How calls to replicas and their answers are encoded."""
 
@@ -49,6 +57,9 @@
     def read_head(self, call: Call, head: Head) -> ReplicaHead:
         """Return what a head says; raise ProtocolError if it answers another call."""
 
+    def read_health(self, head: Head) -> ReplicaHealth:
+        """Return what the answer to a health check says."""
+
 
 class Observer(Protocol):
     """Who learns what replicas say of themselves."""
