--- /dev/null
+++ b/sassafraskeel/emulators/replica.py
@@ -0,0 +1,139 @@
+"""A stand-in for a replica of the users' platform, with a ledger of what it ran."""
+
+from collections import Counter
+from typing import NamedTuple
+
+import curio
+
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import ConnectionLost
+from sassafraskeel.core.net import Address, Network
+from sassafraskeel.emulators.faults import Faults
+from sassafraskeel.emulators.http_server import HttpServer, Reply, Request, json_reply
+
+SIGNATURE = (b"x-sassafraskeel-response-stamp", b"1.1")
+
+
+class Run(NamedTuple):
+    """One request that the replica began to work on."""
+
+    request_id: str
+    path: str
+    after: str
+    at: float
+
+
+class ReplicaEmulator:
+    """Runs plain requests, and streams `events` events on POST requests to /stream.
+
+    `refuse` of the next requests are rejected unexecuted, `fail` are answered with
+    500, `crash_after` cuts each stream after so many events; `name` is the id that
+    it answers to.
+    """
+
+    def __init__(
+        self, clock: Clock, network: Network, address: Address, name: str, zone: str
+    ):
+        self._clock = clock
+        self.faults = Faults()
+        self._server = HttpServer(clock, network, address, self.handle, self.faults)
+        self.name = name
+        self.zone = zone
+        self.slots = 8
+        self.delay = 0.02
+        self.events = 5
+        self.refuse = 0
+        self.fail = 0
+        self.hang = 0
+        self.crash_after: int | None = None
+        self.cold_ms = 0
+        self.arrivals = 0
+        self.probes = 0
+        self.running = 0
+        self.runs: list[Run] = []
+        self.headers: list[dict[bytes, bytes]] = []
+
+    @property
+    def address(self) -> Address:
+        """Return the address of the replica."""
+        return self._server.address
+
+    @property
+    def ledger(self) -> Counter:
+        """Return how often each request ran."""
+        return Counter(run.request_id for run in self.runs)
+
+    async def start(self) -> None:
+        """Start serving."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.close()
+
+    def entry(self, service: str, **fields) -> dict:
+        """Return what the replica writes into the store."""
+        return {
+            "service": service,
+            "address": str(self.address),
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "coldRemainingMs": self.cold_ms,
+            "seqNo": 1,
+            "born": 1,
+        } | fields
+
+    async def handle(self, request: Request) -> Reply:
+        """Answer one request."""
+        if request.path == "/healthz":
+            self.probes += 1
+            headers = [(b"x-sassafraskeel-instance-id", self.name.encode())]
+            if self.cold_ms:
+                cold = str(self.cold_ms).encode()
+                headers.append((b"x-sassafraskeel-cold-ms", cold))
+            return Reply(200, b"{}", tuple(headers))
+        self.arrivals += 1
+        self.headers.append(dict(request.headers))
+        request_id = request.header(b"x-sassafraskeel-request-id")
+        echo = (b"x-sassafraskeel-request-id", request_id.encode())
+        if request.header(b"x-sassafraskeel-expect-instance") != self.name:
+            return json_reply({}, 421, (echo,))
+        if self.refuse:
+            self.refuse -= 1
+            return json_reply({}, 503, (echo, (b"x-sassafraskeel-not-executed", b"1")))
+        return await self._run(request, request_id, echo)
+
+    async def _run(self, request, request_id, echo) -> Reply:
+        after = request.header(b"last-event-id")
+        now = self._clock.monotonic()
+        self.runs.append(Run(request_id, request.path, after, now))
+        self.running += 1
+        try:
+            if self.hang:
+                self.hang -= 1
+                await curio.Event().wait()
+            await self._clock.sleep(self.delay)
+        finally:
+            self.running -= 1
+        load = f"{self.running},0,{self.slots}".encode()
+        headers = (echo, SIGNATURE, (b"x-sassafraskeel-server-load", load))
+        if self.fail:
+            self.fail -= 1
+            return json_reply({"error": "failed"}, 500, headers)
+        if not request.path.startswith("/stream/"):
+            return json_reply({"path": request.path}, 200, headers)
+        kind = (b"content-type", b"text/event-stream")
+        return Reply(200, self._stream(int(after or 0)), (*headers, kind))
+
+    async def _stream(self, after: int):
+        self.running += 1
+        try:
+            for number in range(after + 1, self.events + 1):
+                if self.crash_after is not None and number > self.crash_after:
+                    raise ConnectionLost("crashed within a stream")
+                await self._clock.sleep(self.delay)
+                yield f"id: {number}\ndata: piece {number}\n\n".encode()
+        finally:
+            self.running -= 1
--- /dev/null
+++ b/tests/support/routes.py
@@ -0,0 +1,199 @@
+"""Hosts that serve routes, with a store and replicas, in memory and virtual time."""
+
+import json
+import random
+
+from sassafraskeel.core.http_client import connect, exchange
+from sassafraskeel.core.log import NullLog
+from sassafraskeel.core.net import Address, parse_address
+from sassafraskeel.core.route_settings import RouteSettings
+from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.emulators.replica import ReplicaEmulator
+from sassafraskeel.emulators.store import StoreEmulator
+from sassafraskeel.platform.daemon import interfaces
+from sassafraskeel.platform.documents import Documents
+from sassafraskeel.platform.replicas import ReplicaCalls
+from sassafraskeel.platform.store import StoreClient
+from sassafraskeel.route_host import RouteEnvironment, RouteHost
+from tests.support.clock import run_virtual
+from tests.support.network import MemoryNetwork
+
+ANY_PORT = Address("127.0.0.1", 0)
+HOST = "app.example"
+SETTINGS = """
+[host]
+name = {name}
+domain = {zone}
+[listen]
+callers = 127.0.0.1:{port}0
+directory = 127.0.0.1:{port}1
+readiness = 127.0.0.1:{port}2
+gateways = 127.0.0.1:{port}3
+metrics = 127.0.0.1:{port}4
+[store]
+address = {store}
+[regions]
+north-a = north
+south-a = south
+"""
+ROUTES = (
+    {"name": "reads", "pathPrefix": "/read/", "kind": "safe", "attempts": 2},
+    {"name": "orders", "pathPrefix": "/order/", "kind": "non_idempotent"},
+    {
+        "name": "chats",
+        "pathPrefix": "/stream/chat/",
+        "kind": "streaming",
+        "canResume": True,
+        "attempts": 2,
+        "gapAimMs": 200,
+    },
+    {"name": "drafts", "pathPrefix": "/stream/draft/", "kind": "streaming"},
+    {
+        "name": "bound",
+        "pathPrefix": "/read/bound/",
+        "kind": "safe",
+        "homeRegions": ["north"],
+    },
+    {"name": "short", "pathPrefix": "/read/short/", "kind": "safe", "timeoutMs": 500},
+)
+
+
+def manifest(version=1, routes=ROUTES, **service) -> bytes:
+    """Return a manifest as the operator writes it, with one service `desk`."""
+    defaults = {
+        "host": HOST,
+        "service": "desk",
+        "timeoutMs": 6000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "attempts": 1,
+    }
+    content = {
+        "version": version,
+        "routes": [defaults | route for route in routes],
+        "services": [{"name": "desk", "healthPath": "/healthz"} | service],
+        "limits": {"maxBodyBytes": 65536, "idleTimeoutMs": 15000},
+    }
+    return json.dumps(content).encode()
+
+
+class RouteWorld:
+    """A store, replicas and hosts; two hosts in the north, one in the south."""
+
+    zones = ("north-a", "north-a", "south-a")
+
+    def __init__(self, clock, replica_zones=("north-a", "north-a", "south-a")):
+        self.clock = clock
+        self.network = MemoryNetwork()
+        self.store = StoreEmulator(clock, self.network.at("store"), ANY_PORT)
+        self.replicas = [
+            ReplicaEmulator(
+                clock, self.network.at(f"r-{number}"), ANY_PORT, f"r-{number}", zone
+            )
+            for number, zone in enumerate(replica_zones)
+        ]
+        self.hosts = []
+        self.logs = []
+
+    async def start(self, document=None):
+        await self.store.start()
+        for replica in self.replicas:
+            await replica.start()
+            await self.list_replica(replica)
+        await self.store.write("op/config", document or manifest())
+        for number, zone in enumerate(self.zones):
+            self.hosts.append(self.build_host(number, zone))
+            await self.hosts[-1].start()
+        await self.clock.sleep(2)
+
+    def build_host(self, number, zone, log=None) -> RouteHost:
+        text = SETTINGS.format(
+            name=f"host-{number}",
+            zone=zone,
+            port=3100 + number,
+            store=self.store.address,
+        )
+        cfg = parse_settings(text, "test.ini", RouteSettings)
+        network = self.network.at(f"host-{number}")
+        env = RouteEnvironment(
+            clock=self.clock,
+            network=network,
+            rng=random.Random(number),
+            log=log or NullLog(),
+            store=StoreClient(cfg.store.address, self.clock, network),
+            decoder=Documents(),
+            replicas=ReplicaCalls(),
+            interfaces=interfaces,
+        )
+        return RouteHost(cfg, env)
+
+    async def list_replica(self, replica, **fields):
+        """Write the entry of a replica into the store."""
+        value = json.dumps(replica.entry("desk", **fields)).encode()
+        await self.store.write(f"servers/{replica.name}", value)
+
+    async def close(self):
+        for part in (*self.hosts, *self.replicas, self.store):
+            await part.close()
+
+    async def call(
+        self, path, method="GET", host=0, call_id="c-1", deadline_ms=5000, headers=()
+    ):
+        """Send a call on a connection of its own; return head and body."""
+        fields = (
+            (b"host", HOST.encode()),
+            (b"x-sassafraskeel-request-id", call_id.encode()),
+            (b"x-sassafraskeel-deadline-ms", str(deadline_ms).encode()),
+            *headers,
+        )
+        address = self.hosts[host].cfg.listen.callers
+        return await exchange(self.network, address, method, path, fields)
+
+    async def open_call(self, path, method="POST", host=0, call_id="c-1"):
+        """Send a call and return its connection without waiting for the answer."""
+        address = self.hosts[host].cfg.listen.callers
+        conn = await connect(self.network, address, 0.0)
+        fields = (
+            (b"host", HOST.encode()),
+            (b"x-sassafraskeel-request-id", call_id.encode()),
+            (b"x-sassafraskeel-deadline-ms", b"5000"),
+        )
+        await conn.send(method, path, fields, b"")
+        return conn
+
+    async def ready(self, host=0):
+        """Return the status of the readiness answer."""
+        address = self.hosts[host].cfg.listen.readiness
+        return (await exchange(self.network, address, "GET", "/api/ready"))[0].status
+
+    async def directory(self, host=0, region="north"):
+        """Return the addresses that callers of a region are told."""
+        address = self.hosts[host].cfg.listen.directory
+        path = f"/api/resolve?name={HOST}&region={region}&zone={region}-a"
+        _, body = await exchange(self.network, address, "GET", path)
+        return [parse_address(text) for text in json.loads(body)["addresses"]]
+
+    def runs(self, call_id="c-1"):
+        """Return how often a call ran, on all replicas together."""
+        return sum(replica.ledger[call_id] for replica in self.replicas)
+
+
+def with_routes(test=None, **options):
+    """Run an async test method with a started RouteWorld in virtual time."""
+
+    def decorate(test):
+        def run(self):
+            async def main(clock):
+                world = RouteWorld(clock)
+                await world.start(**options)
+                try:
+                    await test(self, world)
+                finally:
+                    await world.close()
+
+            run_virtual(main)
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        return run
+
+    return decorate(test) if test is not None else decorate
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,90 @@
+"""What a host believes of replicas: lapses, evacuations, restarts and the cold rate."""
+
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from sassafraskeel.core.net import Address
+from sassafraskeel.decisions.fleet import LAPSE_SECONDS, Fleet, Replica
+from sassafraskeel.decisions.routes import CallerLimits, Manifest, ServiceSpec
+
+LIMITS = CallerLimits(16384, 65536, 3.0, 15.0)
+
+
+def manifest(version, cold_rate=0.0):
+    service = ServiceSpec("desk", "/healthz", 100, 3.0, cold_rate, None)
+    return Manifest(version, (), {"desk": service}, LIMITS)
+
+
+def replica(name="r-1", born=1, **fields):
+    values = {"slots": 6, "draining": False} | fields
+    return Replica(name, born, "desk", "a", Address("10.0.0.1", 80), **values)
+
+
+class FleetTest(TestCase):
+    def setUp(self):
+        self.fleet = Fleet({"a": "north"})
+        self.fleet.accept(manifest(1, cold_rate=2.0))
+        self.fleet.update(replica())
+
+    def names(self, now):
+        return [entry.name for entry in self.fleet.replicas("desk", now)]
+
+    @given(st.lists(st.integers(1, 50), min_size=1))
+    def test_versions(self, versions):
+        """Guards against a manifest that goes back to an older version."""
+        fleet = Fleet({})
+        for position, version in enumerate(versions):
+            accepted = fleet.accept(manifest(version))
+            self.assertEqual(accepted, version > max([0, *versions[:position]]))
+            self.assertEqual(fleet.version, max(versions[: position + 1]))
+
+    def test_removed(self):
+        """Guards against work for a replica whose entry is gone."""
+        self.assertTrue(self.fleet.remove("r-1", 10.0))
+        self.assertEqual(self.names(10.0), [])
+
+    def test_lapsed(self):
+        """Guards against an outage of the store that takes living replicas away."""
+        self.fleet.store_silent(10.0)
+        self.fleet.store_answered(15.0)
+        self.assertFalse(self.fleet.remove("r-1", 15.1))
+        self.assertEqual(self.names(16.0), ["r-1"])
+        self.fleet.update(replica())
+        self.assertEqual(self.names(20.0), ["r-1"])
+
+    def test_lapsed_for_good(self):
+        """Guards against a replica that is used although it did not come back."""
+        self.fleet.store_silent(10.0)
+        self.fleet.store_answered(15.0)
+        self.fleet.remove("r-1", 15.1)
+        after = 15.0 + LAPSE_SECONDS
+        self.assertEqual(self.names(after), [])
+        self.assertEqual(self.fleet.expire(after), ["r-1"])
+
+    def test_short_gap(self):
+        """Guards against a removal that is put off although no entry can lapse."""
+        self.fleet.store_silent(10.0)
+        self.fleet.store_answered(10.5)
+        self.assertTrue(self.fleet.remove("r-1", 10.6))
+
+    def test_restarted(self):
+        """Guards against a call for a run of a replica that has ended."""
+        self.fleet.update(replica(born=2))
+        self.assertFalse(self.fleet.takes_work(replica(born=1), 10.0))
+        self.assertTrue(self.fleet.takes_work(replica(born=2), 10.0))
+
+    def test_taken_back(self):
+        """Guards against a rush on a zone that is taken back with cold replicas."""
+        self.fleet.evacuate("a", True, 10.0)
+        self.assertEqual(self.names(10.0), [])
+        self.fleet.evacuate("a", False, 20.0)
+        self.assertTrue(self.fleet.is_cold(replica(), 20.0))
+        self.assertFalse(self.fleet.is_cold(replica(), 23.1))
+        self.fleet.warm("r-1")
+        self.assertFalse(self.fleet.is_cold(replica(), 20.0))
+
+    def test_whole_list(self):
+        """Guards against replicas that a complete list no longer names."""
+        self.fleet.update(replica("r-2"))
+        self.assertEqual(self.fleet.retain({"r-2"}, 10.0), ["r-1"])
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,166 @@
+"""Decoding the platform's documents, and client calls to its store."""
+
+import json
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from sassafraskeel.core.errors import (
+    HistoryLost,
+    LeaseLost,
+    MalformedDocument,
+    PlatformUnavailable,
+)
+from sassafraskeel.core.net import Address
+from sassafraskeel.core.types import CallKind, HostInfo
+from sassafraskeel.emulators.store import StoreEmulator
+from sassafraskeel.platform.documents import (
+    Documents,
+    decode_manifest,
+    decode_replica,
+)
+from sassafraskeel.platform.store import StoreClient
+from sassafraskeel.store.client import Change
+from sassafraskeel.store.facts import HostListed
+from tests.support.clock import run_virtual
+from tests.support.network import MemoryNetwork
+from tests.support.routes import ANY_PORT, manifest
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.1.0.9:8080",
+    "zone": "north-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "seqNo": 4,
+    "born": 12,
+}
+VALUES = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.text(max_size=5), st.lists(st.none())
+)
+
+
+class DocumentsTest(TestCase):
+    def test_manifest(self):
+        """Guards against routes whose kind or bounds are read wrongly."""
+        decoded = decode_manifest(manifest(7, coldStartS=3.0, coldPerS=2.4))
+        self.assertEqual(decoded.version, 7)
+        kinds = {route.name: route.kind for route in decoded.routes}
+        self.assertEqual(kinds["reads"], CallKind.READ)
+        self.assertEqual(kinds["orders"], CallKind.ORDER)
+        self.assertEqual(kinds["chats"], CallKind.MODEL)
+        self.assertEqual(decoded.services["desk"].cold_rate, 2.4)
+
+    def test_replica(self):
+        """Guards against fields of an entry that are mixed up."""
+        replica = decode_replica("r-1", json.dumps(ENTRY).encode(), 100.0)
+        self.assertEqual(replica.address, Address("10.1.0.9", 8080))
+        self.assertEqual(replica.cold_until, 101.5)
+        self.assertFalse(replica.draining)
+
+    @given(st.sampled_from(sorted(ENTRY)), VALUES)
+    def test_malformed_replica(self, field, value):
+        """Guards against an entry of another writer that ends the follower."""
+        entry = json.dumps(ENTRY | {field: value}).encode()
+        try:
+            replica = decode_replica("r-1", entry, 0.0)
+        except MalformedDocument:
+            return
+        self.assertIsInstance(replica.slots, int)
+        self.assertIsInstance(replica.service, str)
+
+    @given(st.binary(max_size=40))
+    def test_bytes(self, value):
+        """Guards against bytes that are no document."""
+        for key in ("op/config", "servers/x", "hosts/x"):
+            try:
+                Documents().decode(Change(key, value, 1), 0.0)
+            except MalformedDocument:
+                continue
+
+    def test_host(self):
+        """Guards against registrations that cannot be read back."""
+        host = HostInfo("h", "a", "1", Address("10.0.0.1", 1), Address("10.0.0.1", 2))
+        key, value = Documents().host_entry(host)
+        fact = Documents().decode(Change(key, value, 1), 0.0)
+        self.assertEqual(fact, HostListed(host))
+
+
+def with_store(test):
+    """Run an async test method with a store emulator and a client of it."""
+
+    def run(self):
+        async def main(clock):
+            network = MemoryNetwork()
+            store = StoreEmulator(clock, network, ANY_PORT)
+            await store.start()
+            client = StoreClient(store.address, clock, network)
+            try:
+                await test(self, store, client, clock)
+            finally:
+                await client.close()
+                await store.close()
+
+        run_virtual(main)
+
+    run.__doc__ = test.__doc__
+    return run
+
+
+class StoreClientTest(TestCase):
+    @with_store
+    async def test_pages(self, store, client, clock):
+        """Guards against items that are lost between two pages."""
+        for number in range(1203):
+            await store.write(f"servers/{number:05}", b"x")
+        page = await client.read_all()
+        self.assertEqual(len(page.changes), 1203)
+        self.assertEqual(page.as_of, store.revision)
+
+    @with_store
+    async def test_watch(self, store, client, clock):
+        """Guards against changes that a watch leaves out."""
+        await store.write("op/a", b"1")
+        await store.write("op/a", None)
+        page = await client.watch(1, 1.0)
+        self.assertEqual([change.value for change in page.changes], [b"1", None])
+        page = await client.watch(page.as_of, 1.0)
+        self.assertEqual(page.changes, ())
+
+    @with_store
+    async def test_history_lost(self, store, client, clock):
+        """Guards against a host that takes a gap in the history for silence."""
+        await store.write("op/a", b"1")
+        await store.compact()
+        with self.assertRaises(HistoryLost):
+            await client.watch(1, 1.0)
+
+    @with_store
+    async def test_silent(self, store, client, clock):
+        """Guards against a watch that waits for ever on a silent connection."""
+        store.silent = True
+        with self.assertRaises(PlatformUnavailable):
+            await client.watch(1, 1.0)
+
+    @with_store
+    async def test_lost_answer(self, store, client, clock):
+        """Guards against a connection that is kept after its answer was lost."""
+        store.lose = 1
+        with self.assertRaises(PlatformUnavailable):
+            await client.put("hosts/a", b"1")
+        self.assertGreater(await client.put("hosts/a", b"2"), 0)
+
+    @with_store
+    async def test_lease(self, store, client, clock):
+        """Guards against a key that outlives its lease."""
+        lease = await client.grant(4.0)
+        await client.put("hosts/a", b"1", lease)
+        await client.renew(lease)
+        await client.end(lease)
+        self.assertEqual(store.keys(), set())
+        with self.assertRaises(LeaseLost):
+            await client.renew(lease)
+        with self.assertRaises(LeaseLost):
+            await client.put("hosts/a", b"1", lease)
