--- a/sassafraskeel/calls/route_dispatcher.py
+++ b/sassafraskeel/calls/route_dispatcher.py
@@ -47,6 +47,8 @@
 # after at least two seconds without an event.
 MIN_STALL_SECONDS = 1.0
 STALL_PAUSES = 3.0
+# Callers leave a stream after a gap of two seconds.
+RESUME_SECONDS = 1.2
 FAILURE_STATUS = 500
 
 
@@ -253,7 +255,10 @@
                 after=last_id,
                 sends=tried.sends,
             )
-            resumed = call._replace(resume_after=last_id or call.resume_after)
+            resumed = call._replace(
+                resume_after=last_id or call.resume_after,
+                start_by=self._clock.monotonic() + RESUME_SECONDS,
+            )
             answer = await self._run(resumed, body, tried)
             if answer.head.status >= 300 or not is_event_stream(answer.head):
                 await answer.close()
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -7,7 +7,7 @@
 from sassafraskeel.calls.slots import SlotQueues, Wanted
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import Reason, Refusal, not_run
-from sassafraskeel.core.types import Call, HostInfo
+from sassafraskeel.core.types import Call, HostInfo, Prompt
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
 from sassafraskeel.decisions.health import Health
@@ -19,6 +19,7 @@
     ZONE_SECONDS,
     Option,
     choose_option,
+    is_worth_leaving,
     predicted_seconds,
     prefers_region,
     slot_limit,
@@ -29,7 +30,10 @@
 # Replicas that are known but may not be used, such as cold ones, may become usable,
 # and those of a zone that crashed together are back after some seconds.
 NO_REPLICA_WAIT_SECONDS = 1.0
-NO_REPLICA_POLL_SECONDS = 0.05
+NO_REPLICA_POLL_SECONDS = 0.15
+# Replicas whose entries lapsed drop out by time alone.
+VIEW_SECONDS = 0.2
+MAX_VIEWS = 256
 # A replica that just answered with a failure may do so again.
 SOFT_FAILURE_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 0.5
@@ -70,6 +74,14 @@
         self.sends = 0
 
 
+class _View(NamedTuple):
+    """The replicas of a service by region, as of some time and state of the fleet."""
+
+    made_at: float
+    changes: int
+    regions: dict[str, list[Replica]]
+
+
 class Beliefs(NamedTuple):
     """What a host believes, as its placement uses it."""
 
@@ -93,6 +105,7 @@
         spares: Callable[[HostInfo], int] = lambda host: 0,
     ):
         self._spares = spares
+        self._views: dict[str, _View] = {}
         self._clock = clock
         self._rng = rng
         self._beliefs = beliefs
@@ -107,10 +120,12 @@
     async def find(self, call: Call, tried: Tried) -> RoutePlace:
         """Return a place; raise Refusal (not run) if there is none in time."""
         waited_until = self._clock.monotonic() + NO_REPLICA_WAIT_SECONDS
+        expires = min(call.expires, call.start_by)
         while True:
             now = self._clock.monotonic()
-            if call.expires <= now:
-                raise not_run(Reason.DEADLINE, "no slot became free in time")
+            if expires <= now:
+                detail = f"no slot of {call.service} became free in time"
+                raise not_run(Reason.OVERLOADED, detail, RETRY_AFTER_SECONDS)
             place = self._place(call, tried, now)
             if place is not None:
                 return place
@@ -119,7 +134,7 @@
                 if place is not None:
                     return place
                 continue
-            if now >= min(waited_until, call.expires):
+            if now >= min(waited_until, expires):
                 detail = f"no replica of {call.service} can be used"
                 raise not_run(Reason.NO_UPSTREAM, detail, NO_REPLICA_RETRY_SECONDS)
             await self._clock.sleep(NO_REPLICA_POLL_SECONDS)
@@ -136,11 +151,9 @@
         if self._queues.length(call.service) and not call.hops:
             local = []  # Those that wait come first.
         best = min((option.seconds for option in local), default=None)
-        if not call.hops:
+        if not call.hops and is_worth_leaving(best, call.terms.objective):
             remote = self._best_region(call, tried, now, free=True)
-            if remote is not None and prefers_region(
-                best, remote[0], call.terms.objective
-            ):
+            if remote is not None and prefers_region(best, remote[0]):
                 return RoutePlace(None, remote[1], 0, remote[0])
         if local:
             return self._take(call, choose_option(local, self._rng), now)
@@ -153,7 +166,7 @@
     async def _wait(self, call: Call, tried: Tried, now: float) -> RoutePlace | None:
         """Wait for a slot; return None when other regions are to be looked at again."""
         taken: dict[str, RoutePlace] = {}
-        look_at = min(call.expires, now + call.terms.objective / 2)
+        look_at = min(call.expires, call.start_by, now + call.terms.objective / 2)
 
         def choose():
             now = self._clock.monotonic()
@@ -189,7 +202,7 @@
         prompt = call.terms.prompt
         tokens = 0
         if prompt is not None:
-            tokens = max(prompt.tokens_in - self._held(call, replica, now), 0)
+            tokens = max(prompt.tokens_in - option.held_tokens, 0)
             spec = beliefs.fleet.service(replica.service)
             memory = spec.engine.memory_tokens if spec and spec.engine else 0
             beliefs.prompts.read(replica.name, prompt, memory)
@@ -202,19 +215,33 @@
     def _give_back(self, replica: Replica) -> None:
         self._beliefs.loads.finished(replica.name)
 
-    def _local(self, call, tried, now, free: bool) -> list[Option]:
+    def _by_region(self, service: str, now: float) -> dict[str, list[Replica]]:
         fleet = self._beliefs.fleet
+        view = self._views.get(service)
+        if (
+            view is None
+            or view.changes != fleet.changes
+            or not 0 <= now - view.made_at < VIEW_SECONDS
+        ):
+            if len(self._views) >= MAX_VIEWS:
+                self._views.clear()
+            regions = fleet.by_region(service, now)
+            view = self._views[service] = _View(now, fleet.changes, regions)
+        return view.regions
+
+    def _local(self, call, tried, now, free: bool) -> list[Option]:
         region = self._beliefs.hosts.region_of(self._beliefs.hosts.own)
         if call.terms.homes and region not in call.terms.homes:
             return []
-        return [
-            self._option(call, replica, tried, now)
-            for replica in fleet.replicas(call.service, now)
-            if fleet.region_of(replica.zone) == region
-            and replica.name not in tried.lost
+        replicas = self._by_region(call.service, now).get(region, [])
+        usable = [
+            replica
+            for replica in replicas
+            if replica.name not in tried.lost
             and self._usable(replica, now)
             and (not free or self._is_free(replica, now))
         ]
+        return self._options(call, usable, replicas, tried, now)
 
     def _best_region(self, call, tried, now, free):
         """Return the predicted seconds and a host of the best other region."""
@@ -228,17 +255,19 @@
                 for host in beliefs.hosts.reachable(region, now)
                 if host.name not in tried.lost
             ]
-            options = [
-                self._option(call, replica, tried, now).seconds
-                for replica in beliefs.fleet.replicas(call.service, now)
-                if beliefs.fleet.region_of(replica.zone) == region
-                and not beliefs.fleet.says_cold(replica, now)
+            replicas = self._by_region(call.service, now).get(region, [])
+            usable = [
+                replica
+                for replica in replicas
+                if not beliefs.fleet.says_cold(replica, now)
                 and (not free or self._is_free(replica, now))
             ]
-            if hosts and options:
-                seconds = min(options) + REGION_SECONDS
-                if best is None or seconds < best[0]:
-                    best = seconds, self._choose_host(hosts)
+            if not hosts or not usable:
+                continue
+            options = self._options(call, usable, replicas, tried, now)
+            seconds = min(option.seconds for option in options) + REGION_SECONDS
+            if best is None or seconds < best[0]:
+                best = seconds, self._choose_host(hosts)
         return best
 
     def _choose_host(self, hosts: list[HostInfo]) -> HostInfo:
@@ -246,37 +275,33 @@
         ready = [host for host in hosts if self._spares(host)]
         return self._rng.choice(ready or hosts)
 
-    def _option(self, call, replica, tried, now) -> Option:
-        beliefs = self._beliefs
-        seconds = predicted_seconds(
-            replica,
-            beliefs.loads.total(replica.name, now),
-            beliefs.fleet.service(replica.service),
-            call.terms.prompt,
-            self._held(call, replica, now),
-            beliefs.times.expected(call.service, call.kind.value),
-        )
-        if replica.zone != beliefs.hosts.own.domain:
-            seconds += ZONE_SECONDS
-        if replica.name in tried.failed:
-            seconds += SOFT_FAILURE_SECONDS
-        return Option(replica, seconds)
-
-    def _held(self, call, replica, now) -> int:
-        prompt = call.terms.prompt
+    def _options(self, call, usable, replicas, tried, now) -> list[Option]:
+        """Return the usable ones of a region's replicas with their predicted times."""
+        if not usable:
+            return []
+        beliefs, prompt = self._beliefs, call.terms.prompt
+        spec = beliefs.fleet.service(call.service)
+        work = beliefs.times.expected(call.service, call.kind.value)
+        favourite = ""
+        if prompt is not None:
+            favourite = preferred(prompt, [replica.name for replica in replicas])
+        options = []
+        for replica in usable:
+            held = self._held(prompt, replica.name, favourite)
+            load = beliefs.loads.total(replica.name, now)
+            seconds = predicted_seconds(replica, load, spec, prompt, held, work)
+            if replica.zone != beliefs.hosts.own.domain:
+                seconds += ZONE_SECONDS
+            if replica.name in tried.failed:
+                seconds += SOFT_FAILURE_SECONDS
+            options.append(Option(replica, seconds, held))
+        return options
+
+    def _held(self, prompt: Prompt | None, name: str, favourite: str) -> int:
         if prompt is None:
             return 0
-        held = self._beliefs.prompts.held(replica.name, prompt)
-        fleet = self._beliefs.fleet
-        region = fleet.region_of(replica.zone)
-        names = [
-            other.name
-            for other in fleet.replicas(call.service, now)
-            if fleet.region_of(other.zone) == region
-        ]
-        if preferred(prompt, names) == replica.name:
-            held = max(held, shared_tokens(prompt))
-        return held
+        held = self._beliefs.prompts.held(name, prompt)
+        return max(held, shared_tokens(prompt)) if name == favourite else held
 
     def _usable(self, replica: Replica, now: float) -> bool:
         beliefs = self._beliefs
--- a/sassafraskeel/calls/slots.py
+++ b/sassafraskeel/calls/slots.py
@@ -70,6 +70,7 @@
         self._give_back = give_back
         self._numbers = itertools.count()
         self._queues: dict[str, AdmissionQueue] = {}
+        self._served_at: dict[str, float] = {}
         self._tickets: dict[int, Ticket] = {}
 
     def length(self, service: str) -> int:
@@ -105,6 +106,7 @@
     async def serve(self, service: str) -> None:
         """Hand free slots to the waiting calls of a service."""
         queue = self._queue(service)
+        self._served_at[service] = self._clock.monotonic()
         for late in queue.expired(self._clock.monotonic()):
             await self._tickets[late.number].end(refusal=_too_late())
         while (entry := queue.first()) is not None:
@@ -123,11 +125,19 @@
                 async with self._clock.timeout(min(left, LOOK_INTERVAL_SECONDS)):
                     await ticket.ended.wait()
             except TimedOut:
-                await self.serve(ticket.wanted.service)
+                await self._serve_if_due(ticket)
         if ticket.refusal is not None:
             raise ticket.refusal
         return ticket.upstream
 
+    async def _serve_if_due(self, ticket: Ticket) -> None:
+        """Look for free slots, once in an interval for all calls that wait."""
+        now = self._clock.monotonic()
+        service = ticket.wanted.service
+        due = self._served_at.get(service, now) + LOOK_INTERVAL_SECONDS / 2
+        if now >= min(due, ticket.wanted.expires):
+            await self.serve(service)
+
     def _entry(self, wanted: Wanted) -> Waiting:
         return Waiting(
             next(self._numbers),
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -1,5 +1,6 @@
 """The data that moves through a gateway host."""
 
+import math
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -65,7 +66,8 @@
     `expires` is a reading of the local monotonic clock in seconds. `hops` are the
     names of the hosts that the call has passed. `fingerprint` names the request for
     decisions.suspects; it stays on this host. Calls of a route carry its `terms`, and
-    `resume_after` the id of the last event of a stream that the caller has.
+    `resume_after` the id of the last event of a stream that the caller has. A call
+    that has no slot at `start_by` is refused, so that its caller can ask again.
     """
 
     call_id: str
@@ -83,6 +85,7 @@
     fingerprint: str = ""
     terms: Terms | None = None
     resume_after: str = ""
+    start_by: float = math.inf
 
 
 def is_cancelled_with_caller(call: Call) -> bool:
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -48,6 +48,8 @@
         self._silent_since: float | None = None
         self._regained_at: float | None = None
         self.table: RouteTable | None = None
+        # Counts the changes after which other replicas may take work.
+        self.changes = 0
 
     @property
     def version(self) -> int:
@@ -72,6 +74,7 @@
         if manifest.version <= self.version:
             return False
         self.table = RouteTable(manifest)
+        self.changes += 1
         return True
 
     def evacuate(self, zone: str, evacuated: bool, now: float) -> bool:
@@ -79,6 +82,7 @@
 
         The replicas of a zone that is taken back may have become cold.
         """
+        self.changes += 1
         if evacuated:
             changed = zone not in self._evacuated
             self._evacuated.add(zone)
@@ -97,6 +101,7 @@
         if known is None and len(self._replicas) >= MAX_REPLICAS:
             return None
         self._missing.pop(replica.name, None)
+        self.changes += 1
         if known is not None and known.born != replica.born:
             self._cold.pop(replica.name, None)
         self._replicas[replica.name] = replica
@@ -109,6 +114,7 @@
         held_until = self._held_until()
         if held_until is not None and now < held_until:
             self._missing.setdefault(name, held_until)
+            self.changes += 1
             return False
         self._drop(name)
         return True
@@ -192,6 +198,13 @@
             if replica.service == service and self.takes_work(replica, now)
         ]
 
+    def by_region(self, service: str, now: float) -> dict[str, list[Replica]]:
+        """Return the replicas of a service that may get new work, by region."""
+        regions: dict[str, list[Replica]] = {}
+        for replica in self.replicas(service, now):
+            regions.setdefault(self.region_of(replica.zone), []).append(replica)
+        return regions
+
     def names(self) -> set[str]:
         """Return the names of all known replicas."""
         return set(self._replicas)
@@ -202,6 +215,7 @@
         return self._regained_at + LAPSE_SECONDS
 
     def _drop(self, name: str) -> None:
+        self.changes += 1
         self._replicas.pop(name, None)
         self._missing.pop(name, None)
         self._cold.pop(name, None)
--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -1,5 +1,7 @@
 """Which hosts of the gateway may be named to callers and may get forwarded calls."""
 
+from typing import NamedTuple
+
 from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.membership import Membership
 
@@ -8,6 +10,17 @@
 # A store that answered this recently has the registrations of the living hosts: their
 # leases are shorter than the time after which a dead host must not be named.
 STORE_SECONDS = 4.0
+# Liveness changes in seconds, and each call asks several times.
+VIEW_SECONDS = 0.1
+
+
+class _View(NamedTuple):
+    """The hosts of each region as of some time."""
+
+    made_at: float
+    reachable: dict[str, list[HostInfo]]
+    neighbours: set[str]
+    alive: int
 
 
 class HostTable:
@@ -18,6 +31,7 @@
         self._regions = regions
         self._registered: dict[str, HostInfo] = {}
         self._store_answered_at = float("-inf")
+        self._view: _View | None = None
 
     @property
     def own(self) -> HostInfo:
@@ -75,32 +89,39 @@
 
     def reachable(self, region: str, now: float) -> list[HostInfo]:
         """Return the other hosts of a region that may get forwarded calls."""
-        return [
-            host
-            for host in self.known()
-            if self.region_of(host) == region and self.is_linked(host, now)
-        ]
+        return self._current(now).reachable.get(region, [])
 
     def regions(self, now: float) -> list[str]:
         """Return the other regions in which a host can be reached."""
         own = self.region_of(self.own)
-        regions = {
-            self.region_of(host) for host in self.known() if self.is_linked(host, now)
-        }
-        return sorted(regions - {own})
+        return [region for region in self._current(now).reachable if region != own]
 
     def neighbours(self, now: float) -> set[str]:
         """Return the names of the hosts of the own region that are alive."""
-        own = self.region_of(self.own)
-        return {
-            host.name
-            for host in self.known()
-            if self.region_of(host) == own and self._is_alive(host, now)
-        }
+        return self._current(now).neighbours
 
     def count(self, now: float) -> int:
         """Return how many hosts are alive, the own one included."""
-        return 1 + sum(self._is_alive(host, now) for host in self.known())
+        return 1 + self._current(now).alive
+
+    def _current(self, now: float) -> _View:
+        if self._view is None or not 0 <= now - self._view.made_at < VIEW_SECONDS:
+            self._view = self._make_view(now)
+        return self._view
+
+    def _make_view(self, now: float) -> _View:
+        own = self.region_of(self.own)
+        reachable: dict[str, list[HostInfo]] = {}
+        neighbours, alive = set(), 0
+        for host in self.known():
+            region = self.region_of(host)
+            if self.is_linked(host, now):
+                reachable.setdefault(region, []).append(host)
+            if self._is_alive(host, now):
+                alive += 1
+                if region == own:
+                    neighbours.add(host.name)
+        return _View(now, dict(sorted(reachable.items())), neighbours, alive)
 
     def for_callers(
         self, region: str, homes: frozenset[str], draining: bool, now: float
--- a/sassafraskeel/decisions/placing.py
+++ b/sassafraskeel/decisions/placing.py
@@ -26,10 +26,14 @@
 
 
 class Option(NamedTuple):
-    """A replica with the predicted seconds until its first byte."""
+    """A replica with the predicted seconds until its first byte.
+
+    `held_tokens` of the prompt are believed to be in its memory.
+    """
 
     replica: Replica
     seconds: float
+    held_tokens: int
 
 
 def slot_limit(replica: Replica, spec: ServiceSpec | None) -> int:
@@ -65,14 +69,15 @@
     return rng.choice(near)
 
 
-def prefers_region(local: float | None, remote: float, objective: float) -> bool:
+def is_worth_leaving(local: float | None, objective: float) -> bool:
+    """Return whether other regions are looked at; an answer in time stays here."""
+    return local is None or local > objective / 2
+
+
+def prefers_region(local: float | None, remote: float) -> bool:
     """Return whether a call goes to another region.
 
     `local` and `remote` are the predicted seconds in the own and in the best other
-    region, the way there included. A local answer in time is never sent away.
+    region, the way there included.
     """
-    if local is None:
-        return True
-    if local <= objective / 2:
-        return False
-    return remote + REGION_MARGIN_SECONDS < local
+    return local is None or remote + REGION_MARGIN_SECONDS < local
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -197,8 +197,8 @@
 class RouteOffer(NamedTuple):
     """The header of a call of a route that the sender forwards.
 
-    `terms` are those of core.types.Terms. `eager` says that the body follows without
-    waiting for Accept.
+    `terms` are those of core.types.Terms. `start_within` are the seconds in which the
+    call may wait for a slot. The body follows without waiting for Accept.
     """
 
     call_id: str
@@ -212,7 +212,7 @@
     hops: tuple[str, ...]
     resume_after: str
     terms: list
-    eager: bool
+    start_within: float
 
 
 class Leaving(NamedTuple):
--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -284,7 +284,7 @@
         conn = await self._take(host, call)
         # Dialling may have taken a good part of the time that was left.
         remaining = call.expires - self._clock.monotonic()
-        offer = route_offer_of(call, remaining)
+        offer = route_offer_of(call, self._clock.monotonic())
         try:
             async with self._clock.timeout(min(remaining, ACCEPT_TIMEOUT_SECONDS)):
                 await conn.channel.send(offer)
@@ -367,8 +367,9 @@
     )
 
 
-def route_offer_of(call: Call, timeout: float) -> RouteOffer:
+def route_offer_of(call: Call, now: float) -> RouteOffer:
     """Return the offer of a call of a route."""
+    timeout = call.expires - now
     terms = call.terms
     prompt = terms.prompt
     rows = None
@@ -387,7 +388,7 @@
         hops=call.hops,
         resume_after=call.resume_after,
         terms=[*terms._replace(homes=sorted(terms.homes), prompt=rows)],
-        eager=True,
+        start_within=max(min(call.start_by - now, timeout), 0.0),
     )
 
 
@@ -408,6 +409,7 @@
         hops=offer.hops,
         terms=_terms(offer.terms),
         resume_after=offer.resume_after,
+        start_by=now + offer.start_within,
     )
 
 
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -1,6 +1,7 @@
 """Requests of callers as the platform writes them, and the answers to them."""
 
 import json
+import math
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
@@ -30,6 +31,12 @@
 BODY_SECONDS = 30.0
 MAX_ADDRESSES = 64
 MAX_PARTS = 256
+# Callers leave a stream without an event after the longest of two seconds, four
+# objectives and eight pauses. Half of that is left for the replica.
+FIRST_EVENT_SECONDS = 2.0
+FIRST_EVENT_OBJECTIVES = 4
+FIRST_EVENT_PAUSES = 8
+QUEUE_SHARE = 0.5
 DEFAULT_RETRY_SECONDS = 0.5
 # Callers take a time to wait into account up to a third of what they have left.
 RETRY_SHARE = 1 / 3
@@ -82,6 +89,7 @@
         route = table.match(host, path) or table.match(host.rpartition(":")[0], path)
         if route is None:
             raise not_run(Reason.UNKNOWN_ROUTE, f"{host}{path}")
+        left = _seconds_left(headers, route)
         return Call(
             call_id=call_id,
             workspace="",
@@ -90,7 +98,8 @@
             method=request.method.decode(),
             path=target,
             headers=_forwarded(headers),
-            expires=now + _seconds_left(headers, route),
+            expires=now + left,
+            start_by=now + QUEUE_SHARE * min(left, _first_event_seconds(route)),
             priority=route.priority,
             terms=_terms(route, table.manifest.version, headers),
             resume_after=find_header(headers, wire.LAST_EVENT_ID),
@@ -172,6 +181,14 @@
     return min(int(text) / 1000, route.timeout)
 
 
+def _first_event_seconds(route: Route) -> float:
+    """Return how long a caller waits for the first event of a stream."""
+    if route.kind is not CallKind.MODEL:
+        return math.inf
+    objectives = FIRST_EVENT_OBJECTIVES * route.objective
+    return max(FIRST_EVENT_SECONDS, objectives, FIRST_EVENT_PAUSES * route.max_pause)
+
+
 def _terms(route: Route, version: int, headers: Headers) -> Terms:
     is_stream = route.kind is CallKind.MODEL
     repeatable = route.kind is CallKind.READ or (is_stream and route.may_resume)
