Wait for a slot without asking again at once

Change: the bound of a wait is on the start of the call. Test: tests.test_route_host.QueueTest.test_waits_without_spinning did not end within 100 s before and passes now.

--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -6,7 +6,7 @@
 
 from sassafraskeel.calls.slots import SlotQueues, Wanted
 from sassafraskeel.core.clock import Clock
-from sassafraskeel.core.errors import Reason, Refusal, not_run
+from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run
 from sassafraskeel.core.types import Call, HostInfo, Prompt
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
@@ -166,7 +166,8 @@
     async def _wait(self, call: Call, tried: Tried, now: float) -> RoutePlace | None:
         """Wait for a slot; return None when other regions are to be looked at again."""
         taken: dict[str, RoutePlace] = {}
-        look_at = min(call.expires, call.start_by, now + call.terms.objective / 2)
+        expires = min(call.expires, call.start_by)
+        look_at = min(expires, now + call.terms.objective / 2)
 
         def choose():
             now = self._clock.monotonic()
@@ -177,22 +178,23 @@
                 return place.replica
             return None
 
-        work = self._beliefs.times.expected(call.service, call.kind.value)
         wanted = Wanted(
-            None,
-            call.service,
-            call.terms.route,
-            call.priority,
-            look_at,
-            work,
-            bool(call.hops),
-            choose,
+            sheet=None,
+            service=call.service,
+            workspace=call.terms.route,
+            priority=call.priority,
+            expires=expires,
+            # The bound is on the start of the call, not on its end.
+            work=0.0,
+            remote=bool(call.hops),
+            choose=choose,
         )
         try:
-            replica = await self._queues.wait(wanted)
+            async with self._clock.timeout(look_at - now):
+                replica = await self._queues.wait(wanted)
+        except TimedOut:
+            return None
         except Refusal as refusal:
-            if refusal.reason is Reason.DEADLINE:
-                return None
             refusal.retry_after = refusal.retry_after or RETRY_AFTER_SECONDS
             raise
         return taken[replica.name]
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -138,6 +138,62 @@
         self.assertEqual(sum(replica.running for replica in world.replicas), 0)
 
 
+class QueueTest(TestCase):
+    @with_routes
+    async def test_waits_without_spinning(self, world):
+        """Guards against waiting calls that keep a host from reading others."""
+        for replica in world.replicas:
+            replica.delay = 1.0
+            await world.list_replica(replica, slots=1)
+        await world.clock.sleep(1)
+        placement = world.hosts[0].placement
+        looks = []
+        place = placement._place
+        placement._place = lambda *args: looks.append(args) or place(*args)
+        calls = [
+            await world.open_call("/stream/chat/1", call_id=f"q-{number}")
+            for number in range(8)
+        ]
+        await world.clock.sleep(1.5)
+        self.assertLess(len(looks), 8 * 12)
+        self.assertLessEqual(max(replica.running for replica in world.replicas), 2)
+        for conn in calls:
+            await conn.close()
+
+    @with_routes
+    async def test_all_are_served(self, world):
+        """Guards against calls that starve in a queue with free slots."""
+        for replica in world.replicas:
+            replica.delay = 0.2
+            await world.list_replica(replica, slots=1)
+        await world.clock.sleep(1)
+        calls = [
+            await world.open_call("/read/stock", "GET", call_id=f"q-{number}")
+            for number in range(9)
+        ]
+        for conn in calls:
+            head = await conn.receive_head()
+            self.assertEqual(head.status, 200)
+            await conn.close()
+
+    @with_routes
+    async def test_refused_in_time(self, world):
+        """Guards against a refusal that comes after its caller has left."""
+        for replica in world.replicas:
+            replica.hang = 99
+            await world.list_replica(replica, slots=1)
+        await world.clock.sleep(1)
+        for number in range(12):
+            await world.open_call("/order/1", call_id=f"q-{number}")
+        started = world.clock.monotonic()
+        head, _ = await world.call("/stream/draft/1", "POST", call_id="late")
+        self.assertEqual(head.status, 503)
+        # Its caller leaves after eight of the default pauses of 500 ms.
+        self.assertLess(world.clock.monotonic() - started, 4.0)
+        self.assertTrue(find_header(head.headers, b"retry-after"))
+        self.assertEqual(world.runs("late"), 0)
+
+
 class StreamTest(TestCase):
     @with_routes
     async def test_stream(self, world):
