Move what decides out of the adapter, and wait for the first manifest

Cause: sheet, view and lease followers stood in sassafraskeel/platform, which is to hold names, formats and calls only. Change: the modules stand in sassafraskeel/store; calls wait up to 0.8 s for a manifest; fractions of slots are dithered. Messages of libraries become numbered events.

--- a/sassafraskeel/callers/interface.py
+++ b/sassafraskeel/callers/interface.py
@@ -45,6 +45,9 @@
     def direct(self, request: h11.Request) -> Direct | None:
         """Return the answer to a request that is not a call; raise Refusal."""
 
+    async def wait_ready(self) -> None:
+        """Wait a moment for what calls need; returns in any case."""
+
     def call(self, request: h11.Request, call_id: str, now: float) -> Call:
         """Return the call of a request; raise Refusal if it is malformed."""
 
@@ -70,6 +73,9 @@
     def direct(self, request: h11.Request) -> Direct | None:
         raise not_run(Reason.BAD_REQUEST, "the path is not known")
 
+    async def wait_ready(self) -> None:
+        return
+
     def call(self, request: h11.Request, call_id: str, now: float) -> Call:
         raise not_run(Reason.BAD_REQUEST, "no calls are taken here")
 
@@ -135,6 +141,9 @@
             raise not_run(Reason.BAD_REQUEST, "the path is not known")
         return Direct(Head(200, (JSON_HEADER,)), json.dumps(content).encode())
 
+    async def wait_ready(self) -> None:
+        return
+
     def call(self, request: h11.Request, call_id: str, now: float) -> Call:
         self._activity.check_caller()
         return parse_call(request, self._cfg, self._dispatcher.sheet(), call_id, now)
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -214,6 +214,7 @@
     async def _serve_call(self, conn, request, record: CallRecord) -> None:
         http = conn.http
         interface, dispatcher = self._interface, self._parts.dispatcher
+        await interface.wait_ready()
         now = self._clock.monotonic()
         call = record.call = interface.call(request, record.call_id, now)
         dispatcher.check(call)
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -36,6 +36,7 @@
     EVENTS_DROPPED = EventSpec(106, Level.WARNING, "repeated log events dropped")
     SETTINGS_READ = EventSpec(107, Level.INFO, "settings read again")
     SETTINGS_REJECTED = EventSpec(108, Level.ERROR, "changed settings are not valid")
+    LIBRARY_MESSAGE = EventSpec(109, Level.INFO, "message of a library")
     CALL_REFUSED = EventSpec(201, Level.INFO, "call refused")
     CALL_FAILED = EventSpec(202, Level.WARNING, "answer ended with an error")
     CALL_FINISHED = EventSpec(203, Level.DEBUG, "call finished")
--- a/sassafraskeel/core/log.py
+++ b/sassafraskeel/core/log.py
@@ -1,5 +1,6 @@
 """Structured logging of numbered events through an injected sink."""
 
+import logging
 import os
 import sys
 from typing import IO, Protocol
@@ -125,6 +126,19 @@
     return MAX_EVENTS_IN_WINDOW
 
 
+class LibraryHandler(logging.Handler):
+    """Passes on what libraries log, as numbered events."""
+
+    def __init__(self, log: LogSink):
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._log.emit(
+            Event.LIBRARY_MESSAGE, library=record.name, detail=record.getMessage()
+        )
+
+
 class NullLog:
     """A sink that discards every event."""
 
--- a/sassafraskeel/daemon.py
+++ b/sassafraskeel/daemon.py
@@ -11,7 +11,7 @@
 from sassafraskeel.core.settings import HostSection, Settings
 from sassafraskeel.core.signals import SignalWaiter
 from sassafraskeel.host import Environment, Host
-from sassafraskeel.platform.kv import HttpPlatform
+from sassafraskeel.store.kv import HttpPlatform
 
 
 def build_log(cfg: HostSection, clock: Clock) -> BoundedLog:
--- a/sassafraskeel/decisions/estimates.py
+++ b/sassafraskeel/decisions/estimates.py
@@ -1,5 +1,7 @@
 """What a host believes about the load, speed and health of its own upstreams."""
 
+import math
+
 from sassafraskeel.core.settings import LimitSection
 from sassafraskeel.decisions.health import Health
 from sassafraskeel.decisions.reports import LoadReport, LoadReports
@@ -11,6 +13,9 @@
 # alone often ends after its deadline and wastes its slot.
 MARGIN = 1.25
 MAX_WORK_CLASSES = 4096
+# Whole slots are taken from a limit with a fraction. Rounding it down on every host
+# leaves slots idle; steps of the golden ratio round up as often as the fraction says.
+DITHER_STEP = 0.6180339887
 
 
 class NoReports:
@@ -30,6 +35,7 @@
         self.health = Health(cfg.ramp.total_seconds())
         self._reports = reports
         self._own: dict[str, int] = {}
+        self._dither = 0.5
         self._own_at_report: dict[str, tuple[float, int]] = {}
 
     def own(self, upstream: str) -> int:
@@ -40,6 +46,7 @@
         """Record that this host takes a slot."""
         self._observe(upstream)
         self._own[upstream] = self.own(upstream) + 1
+        self._dither = (self._dither + DITHER_STEP) % 1
 
     def finished(self, upstream: str) -> None:
         """Record that this host gives a slot back."""
@@ -86,7 +93,8 @@
             free = max(upstream.slots - report.running - report.queued, 0)
             fair = self._own_at_report[upstream.name][1] + free / hosts
             share = max(share, share + self._trust(report, now) * (fair - share))
-        return max(share * self.health.ramp(upstream.name, now), 1.0)
+        limit = max(share * self.health.ramp(upstream.name, now), 1.0)
+        return max(math.floor(limit + self._dither), 1)
 
     def load(self, upstream: Upstream, hosts: int, now: float) -> float:
         """Return the believed use of an upstream, as a share of its slots."""
--- a/sassafraskeel/emulators/gateway.py
+++ b/sassafraskeel/emulators/gateway.py
@@ -11,7 +11,7 @@
 from sassafraskeel.emulators.http_server import HttpServer, Reply, Request, json_reply
 from sassafraskeel.emulators.network import Wan, WanNetwork
 from sassafraskeel.host import Environment, Host
-from sassafraskeel.platform.kv import HttpPlatform
+from sassafraskeel.store.kv import HttpPlatform
 
 
 def load_wan(path: Path) -> tuple[Wan, str]:
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -48,11 +48,11 @@
 from sassafraskeel.gateways.witness import OrderPeers, view_member
 from sassafraskeel.operators.server import OperatorServer
 from sassafraskeel.operators.views import views_of
-from sassafraskeel.platform.hosts import follow_hosts
-from sassafraskeel.platform.kv import KeyValue
-from sassafraskeel.platform.sheetfollower import SheetFollower
-from sassafraskeel.platform.viewstore import ViewFollower
 from sassafraskeel.sheets.installed import InstalledSheet
+from sassafraskeel.store.hosts import follow_hosts
+from sassafraskeel.store.kv import KeyValue
+from sassafraskeel.store.sheet_follower import SheetFollower
+from sassafraskeel.store.view_store import ViewFollower
 from sassafraskeel.upstreams.parts import UpstreamParts
 
 INCARNATION_BITS = 128
--- a/sassafraskeel/operators/sheet_actions.py
+++ b/sassafraskeel/operators/sheet_actions.py
@@ -9,10 +9,10 @@
 from sassafraskeel.core.http_client import exchange
 from sassafraskeel.core.net import Address, Network
 from sassafraskeel.operators.results import DONE, NOT_DONE, Result
-from sassafraskeel.platform.kv import KeyValue
-from sassafraskeel.platform.sheetstore import accept_sheet, read_head, read_sheet
 from sassafraskeel.sheets.parse import decode_sheet, parse_sheet
 from sassafraskeel.sheets.plan import Plan, check_plan, plan_change
+from sassafraskeel.store.kv import KeyValue
+from sassafraskeel.store.sheet_store import accept_sheet, read_head, read_sheet
 
 HEALTH_TIMEOUT_SECONDS = 3.0
 MAX_ROWS_PRINTED = 200
--- a/sassafraskeel/operators/sheet_commands.py
+++ b/sassafraskeel/operators/sheet_commands.py
@@ -14,7 +14,7 @@
 from sassafraskeel.operators import sheet_actions
 from sassafraskeel.operators.results import failure, report
 from sassafraskeel.operators.sheet_actions import SheetFile
-from sassafraskeel.platform.kv import HttpPlatform
+from sassafraskeel.store.kv import HttpPlatform
 
 EXIT_CODES = (
     "Exit status: 0 done, 1 not done, 2 wrong input (every fault is listed and"
--- a/sassafraskeel/platform/__init__.py
+++ b/sassafraskeel/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The interface to the platform's services."""
+"""The users' platform: names, formats and calls, and nothing that decides."""
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -38,6 +38,9 @@
 FIRST_EVENT_PAUSES = 8
 QUEUE_SHARE = 0.5
 DEFAULT_RETRY_SECONDS = 0.5
+# A host in a far region has the manifest within 0.4 s of its start.
+MANIFEST_WAIT_SECONDS = 0.8
+MANIFEST_LOOK_SECONDS = 0.02
 # Callers take a time to wait into account up to a third of what they have left.
 RETRY_SHARE = 1 / 3
 JSON_HEADER = (b"content-type", b"application/json")
@@ -78,6 +81,12 @@
     def direct(self, request: h11.Request) -> Direct | None:
         return None
 
+    async def wait_ready(self) -> None:
+        """Wait for the first manifest, which a host has soon after its start."""
+        expires = self._clock.monotonic() + MANIFEST_WAIT_SECONDS
+        while self._fleet.table is None and self._clock.monotonic() < expires:
+            await self._clock.sleep(MANIFEST_LOOK_SECONDS)
+
     def call(self, request: h11.Request, call_id: str, now: float) -> Call:
         table = self._fleet.table
         if table is None:
--- a/sassafraskeel/platform/daemon.py
+++ b/sassafraskeel/platform/daemon.py
@@ -1,5 +1,6 @@
 """The gateway process on the platform: wires its clock, network, log and store."""
 
+import logging
 import random
 import signal
 import sys
@@ -10,7 +11,12 @@
 from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.errors import UserError
 from sassafraskeel.core.events import Event
-from sassafraskeel.core.log import BoundedLog, NonBlockingOutput, StructuredLog
+from sassafraskeel.core.log import (
+    BoundedLog,
+    LibraryHandler,
+    NonBlockingOutput,
+    StructuredLog,
+)
 from sassafraskeel.core.net import TcpNetwork
 from sassafraskeel.core.route_settings import RouteSettings
 from sassafraskeel.core.settings import load_settings
@@ -42,11 +48,13 @@
     clock, network = SystemClock(), TcpNetwork()
     output = NonBlockingOutput(sys.stdout.fileno())
     log = StructuredLog(clock, cfg.host.name, output)
+    bounded = BoundedLog(log, clock, debug=cfg.host.log_level == "debug")
+    logging.getLogger().addHandler(LibraryHandler(bounded))
     env = RouteEnvironment(
         clock=clock,
         network=network,
         rng=random.SystemRandom(),
-        log=BoundedLog(log, clock, debug=cfg.host.log_level == "debug"),
+        log=bounded,
         store=StoreClient(cfg.store.address, clock, network),
         decoder=Documents(),
         replicas=ReplicaCalls(),
--- a/sassafraskeel/store/__init__.py
+++ b/sassafraskeel/store/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's store as a peer: following it and registering in it."""
+"""The platform's store as a peer: what hosts keep there and how they follow it."""
--- a/sassafraskeel/platform/leases.py
+++ b/sassafraskeel/store/leases.py
@@ -2,7 +2,7 @@
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import LeaseLost, PlatformRefused
-from sassafraskeel.platform.kv import KeyValue
+from sassafraskeel.store.kv import KeyValue
 
 STATUS_LOCKED = 423
 
--- a/sassafraskeel/platform/sheetfollower.py
+++ b/sassafraskeel/store/sheet_follower.py
@@ -23,8 +23,11 @@
     merge_lineages,
     watches,
 )
-from sassafraskeel.platform.kv import KeyValue
-from sassafraskeel.platform.sheetstore import (
+from sassafraskeel.sheets.installed import NOTHING, InstalledSheet
+from sassafraskeel.sheets.parse import parse_sheet
+from sassafraskeel.sheets.plan import moved_homes
+from sassafraskeel.store.kv import KeyValue
+from sassafraskeel.store.sheet_store import (
     HEAD_KEY,
     Head,
     Publication,
@@ -33,9 +36,6 @@
     read_head,
     read_text,
 )
-from sassafraskeel.sheets.installed import NOTHING, InstalledSheet
-from sassafraskeel.sheets.parse import parse_sheet
-from sassafraskeel.sheets.plan import moved_homes
 
 # Times the number of hosts in the failure domain, so that the calls to the store
 # grow with the number of domains and not with the number of hosts.
--- a/sassafraskeel/platform/sheetstore.py
+++ b/sassafraskeel/store/sheet_store.py
@@ -26,11 +26,11 @@
     parse_stamp,
     stamp,
 )
-from sassafraskeel.platform.kv import MAX_VALUE_BYTES, KeyValue
 from sassafraskeel.sheets.diff import apply, diff, pack, pack_text, unpack, unpack_text
 from sassafraskeel.sheets.model import Sheet
 from sassafraskeel.sheets.parse import digest_of, parse_sheet
 from sassafraskeel.sheets.plan import check_plan, plan_change
+from sassafraskeel.store.kv import MAX_VALUE_BYTES, KeyValue
 
 HEAD_KEY = "sheet/head"
 KEPT_VERSIONS = 50
--- a/sassafraskeel/platform/viewstore.py
+++ b/sassafraskeel/store/view_store.py
@@ -10,7 +10,7 @@
 from sassafraskeel.decisions.orders import OrderBook, drop_foreign
 from sassafraskeel.decisions.standing import Step, StepKind
 from sassafraskeel.decisions.views import from_json, to_json
-from sassafraskeel.platform.kv import Entry, KeyValue
+from sassafraskeel.store.kv import Entry, KeyValue
 
 # A read confirms the view for the time of a promise (3 s) from when it was sent, so
 # that a watch may take one second.
--- a/sassafraskeel/upstreams/control.py
+++ b/sassafraskeel/upstreams/control.py
@@ -23,9 +23,9 @@
     ignores_fencing,
     next_load,
 )
-from sassafraskeel.platform.kv import KeyValue
-from sassafraskeel.platform.leases import HeldLease
 from sassafraskeel.sheets.model import Service, Sheet, Upstream
+from sassafraskeel.store.kv import KeyValue
+from sassafraskeel.store.leases import HeldLease
 from sassafraskeel.upstreams.carrier import UpstreamStates
 
 INTERVAL_SECONDS = 5.0
--- a/sassafraskeel/upstreams/parts.py
+++ b/sassafraskeel/upstreams/parts.py
@@ -13,8 +13,8 @@
 from sassafraskeel.gateways.codec import Verdicts
 from sassafraskeel.gateways.links import Links
 from sassafraskeel.gateways.verdicts import VerdictExchange
-from sassafraskeel.platform.hosts import LeavingUpstreams
 from sassafraskeel.sheets.model import Sheet
+from sassafraskeel.store.hosts import LeavingUpstreams
 from sassafraskeel.upstreams.carrier import HttpUpstreams
 from sassafraskeel.upstreams.control import ControlStore, EngineControl
 from sassafraskeel.upstreams.guard import GuardedUpstreams
--- a/tests/support/store.py
+++ b/tests/support/store.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from sassafraskeel.core.errors import CompareFailed, PlatformUnavailable
-from sassafraskeel.platform.kv import Entry
+from sassafraskeel.store.kv import Entry
 
 
 class MemoryStore:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,8 +7,8 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.settings import PlatformSection
 from sassafraskeel.emulators.platform import PlatformEmulator
-from sassafraskeel.platform.kv import HttpPlatform
 from sassafraskeel.sheets.model import Fencing
+from sassafraskeel.store.kv import HttpPlatform
 from sassafraskeel.upstreams.control import EngineControl
 from tests.support.clock import run_virtual
 from tests.support.upstreams import ANY_PORT, UpstreamBed
@@ -101,7 +101,7 @@
     async def watch(self, restored_at):
         for second in range(MAX_SECONDS):
             if second == restored_at:
-                self.platform.leases.clear()
+                self.store.leases.clear()
             await self.clock.sleep(1)
             states = [engine.control for engine in self.bed.engines]
             ready = [state.ready for state in states].count(True)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -12,8 +12,8 @@
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.emulators.service import ServiceEmulator
 from sassafraskeel.host import Environment, Host
-from sassafraskeel.platform.kv import HttpPlatform
-from sassafraskeel.platform.sheetstore import accept_sheet
+from sassafraskeel.store.kv import HttpPlatform
+from sassafraskeel.store.sheet_store import accept_sheet
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 from tests.support.orders import order_id
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -11,8 +11,8 @@
 from sassafraskeel.emulators.network import Wan, WanNetwork
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.host import Environment, Host
-from sassafraskeel.platform.kv import HttpPlatform
-from sassafraskeel.platform.sheetstore import accept_sheet
+from sassafraskeel.store.kv import HttpPlatform
+from sassafraskeel.store.sheet_store import accept_sheet
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 from tests.support.settings import HOST_SETTINGS
--- a/tests/test_precedence.py
+++ b/tests/test_precedence.py
@@ -27,15 +27,15 @@
 from sassafraskeel.decisions.membership import Member, Membership
 from sassafraskeel.gateways.codec import SheetDelta, decode, encode
 from sassafraskeel.gateways.sheets import SheetExchange
-from sassafraskeel.platform.sheetfollower import SheetFollower
-from sassafraskeel.platform.sheetstore import (
+from sassafraskeel.sheets.installed import InstalledSheet
+from sassafraskeel.sheets.parse import digest_of
+from sassafraskeel.store.sheet_follower import SheetFollower
+from sassafraskeel.store.sheet_store import (
     HEAD_KEY,
     accept_sheet,
     read_head,
     read_text,
 )
-from sassafraskeel.sheets.installed import InstalledSheet
-from sassafraskeel.sheets.parse import digest_of
 from tests.support.clock import VirtualClock
 from tests.support.store import MemoryStore
 
--- a/tests/test_sheet_commands.py
+++ b/tests/test_sheet_commands.py
@@ -15,7 +15,7 @@
 from sassafraskeel.operators.cli import main
 from sassafraskeel.operators.results import failure
 from sassafraskeel.operators.sheet_actions import SheetFile
-from sassafraskeel.platform.kv import HttpPlatform
+from sassafraskeel.store.kv import HttpPlatform
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 
--- a/tests/test_sheet_hosts.py
+++ b/tests/test_sheet_hosts.py
@@ -5,8 +5,8 @@
 from unittest import TestCase, mock
 
 from sassafraskeel.core.http_client import exchange
-from sassafraskeel.platform.kv import HttpPlatform
-from sassafraskeel.platform.sheetstore import HEAD_KEY
+from sassafraskeel.store.kv import HttpPlatform
+from sassafraskeel.store.sheet_store import HEAD_KEY
 from tests.support.clock import run_virtual
 from tests.support.deployment import DOMAINS, HOSTS, Deployment, domain_of
 from tests.support.network import MemoryNetwork
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -17,8 +17,8 @@
 from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.net import TcpNetwork
 from sassafraskeel.core.settings import PlatformSection
-from sassafraskeel.platform.kv import HttpPlatform
-from sassafraskeel.platform.sheetstore import accept_sheet
+from sassafraskeel.store.kv import HttpPlatform
+from sassafraskeel.store.sheet_store import accept_sheet
 from tools.cluster import Cluster, http_json
 from tools.deployments import DEPLOYMENTS
 
