--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: $(READY)
 	$(BIN)/python -m tools.demo $(DEPLOYMENT)
+	$(BIN)/python -m tools.route_demo
 
 fuzz: $(READY)
 	$(BIN)/python -m tests.fuzz --first $(SEED) --count $(COUNT)
--- a/sassafraskeel/emulators/__main__.py
+++ b/sassafraskeel/emulators/__main__.py
@@ -16,7 +16,9 @@
 from sassafraskeel.emulators.engine import EngineEmulator
 from sassafraskeel.emulators.gateway import WanControl, build_host, load_wan
 from sassafraskeel.emulators.platform import PlatformEmulator
+from sassafraskeel.emulators.replica import ReplicaEmulator
 from sassafraskeel.emulators.service import ServiceEmulator
+from sassafraskeel.emulators.store import StoreEmulator
 from sassafraskeel.host import Host
 
 
@@ -81,6 +83,33 @@
         curio.run(run_until_stopped, part)
 
 
+class Store(BaseModel):
+    """Emulate the store of the users' platform."""
+
+    listen: str
+
+    def __call__(self):
+        address = parse_address(self.listen)
+        curio.run(
+            run_until_stopped, StoreEmulator(SystemClock(), TcpNetwork(), address)
+        )
+
+
+class Replica(BaseModel):
+    """Emulate a replica of the users' platform."""
+
+    listen: str
+    name: str
+    zone: str
+
+    def __call__(self):
+        address = parse_address(self.listen)
+        part = ReplicaEmulator(
+            SystemClock(), TcpNetwork(), address, self.name, self.zone
+        )
+        curio.run(run_until_stopped, part)
+
+
 class Gateway(BaseModel):
     """Run a gateway host behind an emulated wide-area network."""
 
@@ -97,7 +126,7 @@
 class Emulators(BaseModel):
     """Stand-ins for the platform, the upstreams and the wide-area network."""
 
-    command: cappa.Subcommands[Platform | Engine | Service | Gateway]
+    command: cappa.Subcommands[Platform | Engine | Service | Store | Replica | Gateway]
 
 
 if __name__ == "__main__":
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -13,6 +13,9 @@
 
 SIGNATURE = (b"x-sassafraskeel-response-stamp", b"1.1")
 
+# Where a test reads what a replica ran.
+LEDGER_PATH = "/test/ledger"
+
 
 class Run(NamedTuple):
     """One request that the replica began to work on."""
@@ -87,6 +90,8 @@
 
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
+        if request.path == LEDGER_PATH:
+            return json_reply({"runs": self.ledger, "arrivals": self.arrivals})
         if request.path == "/healthz":
             self.probes += 1
             headers = [(b"x-sassafraskeel-instance-id", self.name.encode())]
--- a/sassafraskeel/emulators/store.py
+++ b/sassafraskeel/emulators/store.py
@@ -11,6 +11,8 @@
 
 PAGE_ITEMS = 500
 PROTECTED = ("op/", "servers/")
+# Where the operator and the replicas of a test write.
+OPERATOR_PATH = "/test/key"
 
 
 class StoreEmulator:
@@ -85,6 +87,10 @@
 
     async def handle(self, request: Request) -> Reply:
         """Answer one call."""
+        if request.path == OPERATOR_PATH:
+            removes = request.method == "DELETE"
+            await self.write(request.query["key"], None if removes else request.body)
+            return json_reply({"revision": self.revision})
         self.calls.append(f"{request.method} {request.path}")
         await self._expire_leases()
         if self.silent:
--- /dev/null
+++ b/tools/route_cluster.py
@@ -0,0 +1,248 @@
+"""Runs hosts that serve routes, with a store and replicas, as processes on loopback."""
+
+import http.client
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import NamedTuple
+from urllib.parse import quote
+
+from tools.cluster import free_address
+
+READY_SECONDS = 20.0
+STOP_SECONDS = 15.0
+HOST_NAME = "app.example"
+SETTINGS = """[host]
+name = {name}
+domain = {zone}
+[listen]
+callers = {callers}
+directory = {directory}
+readiness = {readiness}
+gateways = {gateways}
+metrics = {metrics}
+[store]
+address = {store}
+[regions]
+"""
+LISTENERS = ("callers", "directory", "readiness", "gateways", "metrics")
+ROUTES = (
+    {"name": "lookups", "pathPrefix": "/read/", "kind": "safe", "attempts": 2},
+    {"name": "records", "pathPrefix": "/order/", "kind": "non_idempotent"},
+    {
+        "name": "questions",
+        "pathPrefix": "/stream/chat/",
+        "kind": "streaming",
+        "canResume": True,
+        "attempts": 2,
+    },
+    {"name": "summaries", "pathPrefix": "/stream/draft/", "kind": "streaming"},
+)
+
+
+class HostProcess(NamedTuple):
+    """A host and the addresses of its listeners."""
+
+    name: str
+    zone: str
+    listen: dict[str, str]
+
+
+class ReplicaProcess(NamedTuple):
+    """An emulated replica and its address."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class Answer(NamedTuple):
+    """What a caller got; `status` is 0 where the connection failed or broke."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def fetch(address, method, path, headers=None, body=None, timeout=10.0) -> Answer:
+    """Make one request on a connection of its own."""
+    request = urllib.request.Request(
+        f"http://{address}{path}", data=body, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return Answer(answer.status, dict(answer.headers), answer.read())
+    except urllib.error.HTTPError as exc:
+        return Answer(exc.code, dict(exc.headers), exc.read())
+    except (OSError, http.client.HTTPException):
+        return Answer(0, {}, b"")
+
+
+def call(host: HostProcess, path, method="GET", call_id="c", deadline_ms=5000):
+    """Send a call of a caller to a host."""
+    headers = {
+        "Host": HOST_NAME,
+        "X-Sassafraskeel-Request-Id": call_id,
+        "X-Sassafraskeel-Deadline-Ms": str(deadline_ms),
+    }
+    return fetch(host.listen["callers"], method, path, headers)
+
+
+class RouteCluster:
+    """The processes of a deployment; use as a context manager.
+
+    `zones` gives the number of hosts and of replicas of each zone; each zone is a
+    region of its own.
+    """
+
+    def __init__(self, zones: dict[str, tuple[int, int]]):
+        self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
+        self.folder = Path(self._folder.name)
+        self._taken: set[str] = set()
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.store = free_address(self._taken)
+        self.hosts: list[HostProcess] = []
+        self.replicas: list[ReplicaProcess] = []
+        self._zones = zones
+        for zone, (hosts, replicas) in zones.items():
+            for number in range(hosts):
+                listen = {name: free_address(self._taken) for name in LISTENERS}
+                self.hosts.append(HostProcess(f"{zone}-{number}", zone, listen))
+            for number in range(replicas):
+                address = free_address(self._taken)
+                self.replicas.append(
+                    ReplicaProcess(f"r-{zone}-{number}", zone, address)
+                )
+
+    def __enter__(self):
+        self._start("store", "sassafraskeel.emulators", "store", self.store)
+        for replica in self.replicas:
+            self._start(
+                replica.name,
+                "sassafraskeel.emulators",
+                "replica",
+                replica.address,
+                replica.name,
+                replica.zone,
+            )
+        self._wait("the store", lambda: self.write("op/config", self.manifest()))
+        for replica in self.replicas:
+            self.write(f"servers/{replica.name}", entry(replica))
+        for host in self.hosts:
+            self.start_host(host)
+        for host in self.hosts:
+            self.wait_ready(host)
+        return self
+
+    def __exit__(self, *exc_info):
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._folder.cleanup()
+
+    def start_host(self, host: HostProcess) -> None:
+        """Start the process of a host; its log goes to a file in the folder."""
+        text = SETTINGS.format(
+            name=host.name, zone=host.zone, store=self.store, **host.listen
+        )
+        text += "".join(f"{zone} = {zone}\n" for zone in self._zones)
+        path = self.folder / f"{host.name}.ini"
+        path.write_text(text, encoding="utf-8")
+        self._start(host.name, "sassafraskeel.platform", str(path))
+
+    def stop(self, name: str, number: int = signal.SIGTERM) -> int:
+        """Signal a process and return its exit status."""
+        self.processes[name].send_signal(number)
+        return self.processes[name].wait(STOP_SECONDS)
+
+    def wait_ready(self, host: HostProcess) -> None:
+        """Wait until a host says that it is ready."""
+        address = host.listen["readiness"]
+        self._wait(host.name, lambda: fetch(address, "GET", "/api/ready").status == 200)
+
+    def write(self, key: str, value: bytes | None) -> bool:
+        """Write a key of the store as the operator or a replica does."""
+        method = "DELETE" if value is None else "PUT"
+        path = f"/test/key?key={quote(key)}"
+        return fetch(self.store, method, path, body=value or b"").status == 200
+
+    def manifest(self, version: int = 1) -> bytes:
+        """Return a manifest with one service."""
+        defaults = {
+            "host": HOST_NAME,
+            "service": "desk",
+            "timeoutMs": 8000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "attempts": 1,
+        }
+        content = {
+            "version": version,
+            "routes": [defaults | route for route in ROUTES],
+            "services": [{"name": "desk", "healthPath": "/healthz"}],
+        }
+        return json.dumps(content).encode()
+
+    def directory(self, host: HostProcess) -> list[str]:
+        """Return the addresses that a host names to callers of its region."""
+        path = f"/api/resolve?name={HOST_NAME}&region={host.zone}&zone={host.zone}"
+        answer = fetch(host.listen["directory"], "GET", path)
+        return json.loads(answer.body)["addresses"] if answer.status == 200 else []
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each call ran, on all replicas together."""
+        total: dict[str, int] = {}
+        for replica in self.replicas:
+            answer = fetch(replica.address, "GET", "/test/ledger")
+            runs = json.loads(answer.body)["runs"] if answer.status == 200 else {}
+            for name, count in runs.items():
+                total[name] = total.get(name, 0) + count
+        return total
+
+    def log(self, name: str) -> str:
+        """Return what a process has written."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
+    def wait_for(self, what: str, condition) -> None:
+        """Wait for a condition."""
+        self._wait(what, condition)
+
+    def _start(self, name: str, module: str, *words: str) -> None:
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *words], stdout=log, stderr=log
+            )
+
+    def _wait(self, what: str, condition) -> None:
+        expires = time.monotonic() + READY_SECONDS
+        while not condition():
+            if time.monotonic() > expires:
+                raise TimeoutError(f"{what}: not within {READY_SECONDS:g} s")
+            time.sleep(0.05)
+
+
+def entry(replica: ReplicaProcess, state: str = "ready") -> bytes:
+    """Return the entry of a replica in the store."""
+    content = {
+        "service": "desk",
+        "address": replica.address,
+        "zone": replica.zone,
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+        "coldRemainingMs": 0,
+        "seqNo": 1,
+        "born": 1,
+    }
+    return json.dumps(content).encode()
