Lead callers to home regions, and only from hosts that know the manifest

A host that had just started named itself before it knew another one. Change: the regions that most routes with homes allow; no answer before a manifest. A renaming had reached tests.test_control; corrected.

--- a/sassafraskeel/decisions/routes.py
+++ b/sassafraskeel/decisions/routes.py
@@ -1,6 +1,7 @@
 """The manifest as typed rows, and the choice of a route and a service for a request."""
 
 import zlib
+from collections import Counter
 from typing import NamedTuple
 
 from sassafraskeel.core.types import CallKind
@@ -93,9 +94,12 @@
         return None
 
     def homes(self, host: str) -> frozenset[str]:
-        """Return the regions that every route with homes of a host allows."""
-        homes = [route.homes for route in self._routes.get(host, ()) if route.homes]
-        return frozenset.intersection(*homes) if homes else frozenset()
+        """Return the regions that most of a host's routes with homes allow."""
+        counts = Counter(
+            region for route in self._routes.get(host, ()) for region in route.homes
+        )
+        most = max(counts.values(), default=0)
+        return frozenset(region for region in counts if counts[region] == most)
 
 
 def choose_service(route: Route, request_id: str) -> str:
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -150,8 +150,10 @@
         name = fields.get("name", [""])[0].lower()
         region = fields.get("region", [""])[0]
         table = self._fleet.table
-        homes = table.homes(name) if table else frozenset()
-        hosts = self._hosts(region, homes)
+        if table is None:
+            # This host may know no other host yet, and callers ask the next one.
+            raise not_run(Reason.NO_SHEET, "no manifest is known yet", 0.5)
+        hosts = self._hosts(region, table.homes(name))
         addresses = [str(host.callers) for host in hosts[:MAX_ADDRESSES]]
         # A time to live in seconds.
         content = {"addresses": addresses, "ttlS": self._ttl}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -101,7 +101,7 @@
     async def watch(self, restored_at):
         for second in range(MAX_SECONDS):
             if second == restored_at:
-                self.store.leases.clear()
+                self.platform.leases.clear()
             await self.clock.sleep(1)
             states = [engine.control for engine in self.bed.engines]
             ready = [state.ready for state in states].count(True)
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -405,6 +405,18 @@
         head, _ = await world.call("/read/stock", host=3)
         self.assertEqual(head.status, 503)
 
+    @with_routes
+    async def test_directory_after_start(self, world):
+        """Guards against a host that names itself while it knows no other one."""
+        world.store.silent = True
+        host = world.build_host(3, "south-a")
+        world.hosts.append(host)
+        await host.start()
+        address = host.cfg.listen.directory
+        path = "/api/resolve?name=app.example&region=north&zone=north-a"
+        head, _ = await exchange(world.network, address, "GET", path)
+        self.assertEqual(head.status, 503)
+
 
 class DirectoryTest(TestCase):
     @with_routes
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,66 @@
+"""Routes: the longest prefix, splits over services, and the homes of a host."""
+
+from collections import Counter
+from unittest import TestCase
+
+from sassafraskeel.core.types import CallKind
+from sassafraskeel.decisions.routes import (
+    CallerLimits,
+    Manifest,
+    Route,
+    RouteTable,
+    Share,
+    choose_service,
+)
+
+
+def route(name, prefix="/", homes=(), shares=(("desk", 1.0),)):
+    return Route(
+        name,
+        "app.example",
+        prefix,
+        CallKind.READ,
+        tuple(Share(*share) for share in shares),
+        timeout=1.0,
+        objective=0.5,
+        max_pause=0.5,
+        priority=1,
+        max_upstreams=1,
+        may_resume=False,
+        homes=frozenset(homes),
+    )
+
+
+def table(*routes):
+    return RouteTable(Manifest(1, routes, {}, CallerLimits(1, 1, 1.0, 1.0)))
+
+
+class RouteTableTest(TestCase):
+    def test_longest_prefix(self):
+        """Guards against a route that hides one with a longer prefix."""
+        routes = table(route("short", "/a/"), route("long", "/a/b/"))
+        self.assertEqual(routes.match("app.example", "/a/b/c").name, "long")
+        self.assertEqual(routes.match("app.example", "/a/c").name, "short")
+        self.assertIsNone(routes.match("app.example", "/ab"))
+        self.assertIsNone(routes.match("other.example", "/a/"))
+
+    def test_homes(self):
+        """Guards against callers that are led away from homes by one odd route.
+
+        Seed 634389325516 of trouble-2: the homes of all routes of the host had no
+        region in common, so callers were led to a region that is no home.
+        """
+        routes = table(
+            route("a", "/a/", ("north", "east")),
+            route("b", "/b/", ("north", "east")),
+            route("c", "/c/", ("south",)),
+            route("d", "/d/"),
+        )
+        self.assertEqual(routes.homes("app.example"), {"north", "east"})
+
+    def test_split(self):
+        """Guards against a split that does not follow the weights."""
+        split = route("a", shares=(("one", 90.0), ("two", 10.0)))
+        chosen = Counter(choose_service(split, f"id-{n}") for n in range(2000))
+        self.assertAlmostEqual(chosen["two"] / 2000, 0.1, delta=0.03)
+        self.assertEqual(choose_service(split, "x"), choose_service(split, "x"))
