Name no host of another region while all home hosts are being stopped

Change: hosts that still listen are named, then none, so that callers keep what they know for the seconds until the hosts are back. A lost region still falls back to others.

--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -10,6 +10,11 @@
 # A store that answered this recently has the registrations of the living hosts: their
 # leases are shorter than the time after which a dead host must not be named.
 STORE_SECONDS = 4.0
+# A host that is being stopped listens for three seconds; callers use an answer for two,
+# most of them at once.
+LISTEN_SECONDS = 2.0
+# It ends within a grace of eight seconds and is back some seconds later.
+STOP_SECONDS = 12.0
 # Liveness changes in seconds, and each call asks several times.
 VIEW_SECONDS = 0.1
 
@@ -32,6 +37,7 @@
         self._registered: dict[str, HostInfo] = {}
         self._store_answered_at = float("-inf")
         self._view: _View | None = None
+        self._draining: dict[HostInfo, float] = {}
 
     @property
     def own(self) -> HostInfo:
@@ -126,11 +132,14 @@
     def for_callers(
         self, region: str, homes: frozenset[str], draining: bool, now: float
     ) -> list[HostInfo]:
-        """Return the hosts that callers of a region should use.
+        """Return the hosts that callers of a region should use, or none.
 
-        Hosts of the callers' region come first, then those of the home regions, then
-        any others. A host that this one knows to be dead or draining is not named.
+        Hosts of the callers' region come first, then those of the home regions. Where
+        all of these are being stopped, those that still listen are named, and after
+        that none: the others come back within seconds, and a region that is no home
+        must not get the calls. Only without any of them are other regions named.
         """
+        self._note_draining(draining, now)
         hosts = [host for host in self.known() if self._is_alive(host, now)]
         if not draining:
             hosts.append(self.own)
@@ -138,8 +147,26 @@
             chosen = [host for host in hosts if self.region_of(host) in regions]
             if chosen:
                 return chosen
+        stopping = [
+            (host, since)
+            for host, since in self._draining.items()
+            if self.region_of(host) in homes | {region}
+        ]
+        if stopping and homes:
+            return [host for host, since in stopping if now - since < LISTEN_SECONDS]
         return hosts
 
+    def _note_draining(self, draining: bool, now: float) -> None:
+        members = self.membership.members()
+        hosts = {member.info for member in members if member.draining}
+        if draining:
+            hosts.add(self.own)
+        for host in hosts - self._draining.keys():
+            self._draining[host] = now
+        for host, since in list(self._draining.items()):
+            if now - since > STOP_SECONDS:
+                del self._draining[host]
+
     def _is_alive(self, host: HostInfo, now: float) -> bool:
         if self.is_linked(host, now):
             return True
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -154,6 +154,8 @@
             # This host may know no other host yet, and callers ask the next one.
             raise not_run(Reason.NO_SHEET, "no manifest is known yet", 0.5)
         hosts = self._hosts(region, table.homes(name))
+        if not hosts:
+            raise not_run(Reason.DRAINING, "all hosts are being stopped", 0.5)
         addresses = [str(host.callers) for host in hosts[:MAX_ADDRESSES]]
         # A time to live in seconds.
         content = {"addresses": addresses, "ttlS": self._ttl}
--- /dev/null
+++ b/tests/test_hosts.py
@@ -0,0 +1,64 @@
+"""Which hosts are named to callers."""
+
+from unittest import TestCase
+
+from sassafraskeel.core.net import Address
+from sassafraskeel.core.types import HostInfo
+from sassafraskeel.decisions.hosts import HostTable
+from sassafraskeel.decisions.membership import Member, Membership
+
+REGIONS = {"a": "north", "b": "south"}
+HOMES = frozenset(("north",))
+
+
+def host(name, domain, incarnation="1"):
+    port = sum(name.encode())
+    address = Address("10.0.0.1", port)
+    return HostInfo(name, domain, incarnation, address, address)
+
+
+class HostTableTest(TestCase):
+    def setUp(self):
+        self.membership = Membership(host("own", "b"))
+        self.table = HostTable(self.membership, REGIONS)
+        self.near = host("near", "a")
+        self.table.register(self.near)
+        self.table.store_answered(10.0)
+        self.heard(10.0)
+
+    def heard(self, now, draining=False):
+        self.membership.heard(Member(self.near, now, 1, draining))
+
+    def named(self, region, now, homes=HOMES):
+        return [h.name for h in self.table.for_callers(region, homes, False, now)]
+
+    def test_region_first(self):
+        """Guards against callers that are led out of their region."""
+        self.assertEqual(self.named("north", 10.0), ["near"])
+        self.assertEqual(self.named("south", 10.0), ["own"])
+
+    def test_stopping(self):
+        """Guards against a planned stop that leads calls out of their homes.
+
+        Seed 855188124733 of trouble-2 on atlas-coffre: all hosts of both homes were
+        being stopped, and 23 of 411 calls entered in the third region.
+        """
+        self.heard(11.0, draining=True)
+        self.assertEqual(self.named("north", 11.0), ["near"])
+        self.assertEqual(self.named("north", 14.0), [])
+        self.assertEqual(self.named("south", 14.0), ["own"])
+
+    def test_lost_region(self):
+        """Guards against callers that are named no host after a region was lost."""
+        self.assertEqual(self.named("north", 30.0), ["own"])
+
+    def test_silent_link(self):
+        """Guards against a host that is named although its link is silent."""
+        self.table.store_answered(15.0)
+        self.assertEqual(self.named("north", 15.0), ["own"])
+
+    def test_restarted(self):
+        """Guards against a new run that is judged by the link of the last one."""
+        self.table.register(host("near", "a", "2"))
+        self.table.store_answered(15.0)
+        self.assertEqual(self.named("north", 15.0), ["near"])
