--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -27,6 +27,9 @@
 # A watch that went silent is noticed after this and the client's grace, which leaves
 # time for a change to be in force within the bound of four seconds.
 WATCH_SECONDS = 2.5
+# Each change wakes the watch of each host, and a waiting watch is a priced call; changes
+# that come together are taken by the next watch together.
+COALESCE_SECONDS = 0.3
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 1.0
 
@@ -106,6 +109,8 @@
         for name in self._fleet.expire(now):
             self._log.emit(Event.REPLICA_GONE, replica=name, revision=page.as_of)
         await self._finish(page)
+        if page.changes:
+            await self._clock.sleep(COALESCE_SECONDS)
 
     async def _finish(self, page: Page) -> None:
         self._as_of = max(page.as_of, self._as_of)
