--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -238,6 +238,8 @@
         record.outcome = Outcome.UNKNOWN
         pending = [self._response(record, answer.head)]
         while data := await self._read(answer, record, started=not pending):
+            if pending:
+                record.first_data_at = self._clock.monotonic()
             await self._write(conn, *pending, h11.Data(data=data))
             pending = []
         await self._write(conn, *pending, h11.EndOfMessage())
--- a/sassafraskeel/calls/record.py
+++ b/sassafraskeel/calls/record.py
@@ -33,12 +33,19 @@
         self.outcome = Outcome.NOT_RUN
         self.reason = ""
         self.served_by = ""
+        self.first_data_at: float | None = None
 
     def refused(self, refusal: Refusal) -> None:
         """Note how the call was refused."""
         self.outcome = refusal.outcome
         self.reason = refusal.reason.value
 
+    def first_ms(self) -> float | None:
+        """Return the milliseconds until the first data of the answer, if any came."""
+        if self.first_data_at is None:
+            return None
+        return round((self.first_data_at - self.started) * 1000, 1)
+
     def internal_refusal(self) -> Refusal:
         """Return the refusal of a call that met an unexpected error."""
         # Only before dispatch is it certain that no upstream has run the call.
@@ -108,6 +115,7 @@
             served_by=record.served_by,
             outcome=record.outcome.value,
             reason=record.reason,
+            first_ms=record.first_ms(),
             ms=round(seconds * 1000, 1),
             left_ms=round((call.expires - self._clock.monotonic()) * 1000),
         )
--- a/sassafraskeel/calls/route_dispatcher.py
+++ b/sassafraskeel/calls/route_dispatcher.py
@@ -155,6 +155,7 @@
 
     async def _carry(self, place, call, body, tried) -> Answer:
         started = self._clock.monotonic()
+        self._log_send(call, place, tried, started)
         try:
             if place.host is not None:
                 return await self._carry_to_host(place, call, body, tried)
@@ -335,6 +336,21 @@
             health.succeeded(replica.name, now)
             self._beliefs.fleet.chill(replica.name, now)
 
+    def _log_send(self, call: Call, place: RoutePlace, tried: Tried, now: float):
+        self._log.emit(
+            Event.CALL_SENT,
+            call=call.call_id,
+            route=call.terms.route,
+            manifest=call.terms.version,
+            to=place.name,
+            sends=tried.sends,
+            predicted_ms=round(place.seconds * 1000),
+            prompt_tokens=place.tokens,
+            requests=self._beliefs.loads.total(place.name, now).running,
+            store_age_ms=self._beliefs.hosts.store_age_ms(now),
+            left_ms=round((call.expires - now) * 1000),
+        )
+
     def _log_attempt(self, call, place, refusal, tried) -> None:
         self._log.emit(
             Event.ATTEMPT_FAILED,
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -58,6 +58,7 @@
     REPLICA_LISTED = EventSpec(311, Level.INFO, "entry of a replica changed")
     REPLICA_GONE = EventSpec(312, Level.INFO, "replica is gone")
     COLD_PROBE = EventSpec(313, Level.INFO, "replica asked whether it is cold")
+    CALL_SENT = EventSpec(314, Level.INFO, "call sent to a replica or host")
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "watch gave no answer")
--- a/sassafraskeel/core/log.py
+++ b/sassafraskeel/core/log.py
@@ -17,7 +17,7 @@
 MAX_DEBUG_EVENTS_IN_WINDOW = 5000
 # Lines of single calls; a host serves some tens of calls a second.
 MAX_CALL_EVENTS_IN_WINDOW = 1000
-CALL_NUMBERS = frozenset((201, 202, 205, 207, 208, 304, 310))
+CALL_NUMBERS = frozenset((201, 202, 205, 207, 208, 304, 310, 314))
 
 
 class LogSink(Protocol):
--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -1,5 +1,6 @@
 """Which hosts of the gateway may be named to callers and may get forwarded calls."""
 
+import math
 from typing import NamedTuple
 
 from sassafraskeel.core.types import HostInfo
@@ -69,6 +70,11 @@
         """Note that the registrations are current."""
         self._store_answered_at = now
 
+    def store_age_ms(self, now: float) -> int | None:
+        """Return the age of what the store said last, None before its first answer."""
+        age = now - self._store_answered_at
+        return round(age * 1000) if math.isfinite(age) else None
+
     def registered(self) -> list[HostInfo]:
         """Return the registered hosts but the own one, by name."""
         return [self._registered[name] for name in sorted(self._registered)]
