--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -27,7 +27,7 @@
 # A watch that went silent is noticed after this and the client's grace, which leaves
 # time for a change to be in force within the bound of four seconds.
 WATCH_SECONDS = 2.5
-# Each change wakes the watch of each host, and a waiting watch is a priced call; changes
+# Each change wakes the watch of each host, and a watch is a priced call; changes
 # that come together are taken by the next watch together.
 COALESCE_SECONDS = 0.3
 RETRY_MIN_SECONDS = 0.1
