--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -12,6 +12,17 @@
 from tests.support.routes import ROUTES, manifest, with_routes
 
 SIGNATURE = b"x-sassafraskeel-response-stamp"
+ORDERS_TWICE = (
+    {
+        "name": "orders",
+        "pathPrefix": "/order/",
+        "kind": "non_idempotent",
+        "attempts": 2,
+    },
+)
+FAR_HOME = (
+    {"name": "far", "pathPrefix": "/read/", "kind": "safe", "homeRegions": ["east"]},
+)
 
 
 def events(body):
@@ -91,6 +102,16 @@
         await world.clock.sleep(10)
         self.assertEqual(world.runs(), 1)
 
+    @with_routes(document=manifest(2, ORDERS_TWICE))
+    async def test_order_with_two_attempts(self, world):
+        """Guards against a second run where a route allows two replicas."""
+        for replica in world.replicas:
+            replica.faults.answers.append(AnswerFault(cut_after=10))
+        head, _ = await world.call("/order/1", "POST")
+        self.assertEqual(head.status, 502)
+        await world.clock.sleep(10)
+        self.assertEqual(world.runs(), 1)
+
     @with_routes
     async def test_truncated_read_is_repeated(self, world):
         """Guards against a truncated answer that looks whole."""
@@ -239,6 +260,14 @@
         self.assertEqual(head.status, 200)
         self.assertEqual(world.replicas[2].ledger["c-1"], 0)
 
+    @with_routes(document=manifest(2, FAR_HOME))
+    async def test_home_elsewhere(self, world):
+        """Guards against a call that runs in some other region than its home."""
+        for host in (0, 2):
+            head, _ = await world.call("/read/1", host=host, call_id=f"h-{host}")
+            self.assertEqual(head.status, 503)
+            self.assertEqual(world.runs(f"h-{host}"), 0)
+
     @with_routes
     async def test_home_unreachable(self, world):
         """Guards against a call that leaves its home region when that is cut off."""
