Close kept connections of callers once a host drains

Change: a connection ends with the first answer that is over while the host drains. Test: test_kept_connection_ends_with_drain failed before (the call was served) and passes now.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -166,6 +166,10 @@
         conn.method = request.method
         async with self._parts.activity:
             await self._answer_request(conn, request)
+        if self._parts.activity.draining:
+            # The head of this answer may have left before the drain began, without
+            # telling the caller that the connection ends.
+            return False
         # A request whose body was not read cannot be followed by another one.
         return conn.http.is_received() and conn.http.h11.our_state is h11.DONE
 
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -483,6 +483,37 @@
         self.assertEqual(events(body), [1, 2, 3, 4, 5])
         await task.join()
 
+    @with_routes
+    async def test_kept_connection_ends_with_drain(self, world):
+        """Guards against calls that are taken long after the stop was asked for.
+
+        hunt-7d3d-19 on pomar-prensa: a connection that was streaming at SIGTERM took
+        another stream 4.7 s later, which the end of the grace cut (LOST).
+        """
+        for replica in world.replicas:
+            replica.hang = 1
+        busy = await world.open_call("/order/1", call_id="busy")
+        await world.clock.sleep(0.1)
+        for replica in world.replicas:
+            replica.hang, replica.delay = 0, 0.5
+        conn = await world.open_call("/stream/draft/1")
+        await world.clock.sleep(1.2)
+        task = await curio.spawn(world.hosts[0].drain)
+        _, ended = await drain_stream(conn)
+        self.assertTrue(ended)
+        headers = (
+            (b"host", b"app.example"),
+            (b"x-sassafraskeel-request-id", b"late"),
+        )
+        self.assertTrue(conn.reuse())
+        with self.assertRaises(SassafraskeelError):
+            await conn.send("GET", "/read/stock", headers, b"")
+            async with world.clock.timeout(1.0):
+                await conn.receive_head()
+        self.assertEqual(world.runs("late"), 0)
+        await busy.close()
+        await task.join()
+
     @with_routes
     async def test_metrics(self, world):
         """Guards against a metrics address that serves nothing."""
