--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -1,7 +1,6 @@
 """Forwarding a call to another host over a pooled call connection."""
 
 from collections import deque
-from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from sassafraskeel.core.clock import Clock
@@ -19,16 +18,7 @@
 )
 from sassafraskeel.core.net import Network
 from sassafraskeel.core.settings import GatewaySection
-from sassafraskeel.core.tasks import Group
-from sassafraskeel.core.types import (
-    Call,
-    CallKind,
-    Head,
-    HostInfo,
-    Prompt,
-    PromptPart,
-    Terms,
-)
+from sassafraskeel.core.types import Call, CallKind, Head, HostInfo
 from sassafraskeel.gateways.channel import Channel, dial
 from sassafraskeel.gateways.codec import (
     Accept,
@@ -41,8 +31,6 @@
     Hello,
     Offer,
     Refuse,
-    RouteOffer,
-    decode_field,
 )
 
 MAX_IDLE_SECONDS = 15.0
@@ -51,10 +39,6 @@
 OFFER_TIMEOUT_SECONDS = 3.0
 # Far below the largest message, so that a part and its frame always fit.
 MAX_PART_BYTES = 512 * 1024
-# Dialling another region takes three round trips of 160 ms, an answer to an offer one.
-CONNECT_TIMEOUT_SECONDS = 1.0
-ACCEPT_TIMEOUT_SECONDS = 0.8
-SPARE_CONNECTIONS = 2
 
 
 class CallConnection(NamedTuple):
@@ -168,7 +152,7 @@
         try:
             async with self._clock.timeout(call.expires - self._clock.monotonic()):
                 if body is not None:
-                    await _send_body(conn.channel, body)
+                    await send_body(conn.channel, body)
                 head = await conn.channel.receive()
         except SassafraskeelError as exc:
             await conn.channel.close()
@@ -230,97 +214,8 @@
         return unknown(Reason.PEER_UNREACHABLE, text)
 
 
-class RouteForwarder(Forwarder):
-    """Sends calls of routes to other hosts, with the body right behind the header.
-
-    The sender has checked that the receiver's region may hold the call, and a round
-    trip between regions takes a third of the time in which an answer is wanted.
-    `wake` is called when a spare connection was used.
-    """
-
-    def __init__(
-        self,
-        cfg: GatewaySection,
-        own: HostInfo,
-        clock: Clock,
-        network: Network,
-        version,
-        wake: Callable[[], Awaitable[None]],
-    ):
-        super().__init__(cfg, own, clock, network, version)
-        self._wake = wake
-        self._dialling: set[HostInfo] = set()
-
-    def spares(self, host: HostInfo) -> int:
-        """Return how many open connections to a host are not in use."""
-        pool = self._pools.get(host)
-        return pool.fresh() if pool else 0
-
-    async def keep_spares(self, hosts: list[HostInfo], group: Group) -> None:
-        """Open a spare connection to each host that has none, and drop other hosts.
-
-        Opening one while a call waits would take three round trips between regions.
-        """
-        for host in [host for host in self._pools if host not in hosts]:
-            await self._pools.pop(host).close()
-        for host in hosts:
-            pool = self._pools.setdefault(host, CallConnections(self._clock))
-            if pool.fresh() < SPARE_CONNECTIONS and host not in self._dialling:
-                self._dialling.add(host)
-                await group.spawn(self._open_spare, host, pool)
-
-    async def _open_spare(self, host: HostInfo, pool: CallConnections) -> None:
-        try:
-            async with self._clock.timeout(CONNECT_TIMEOUT_SECONDS):
-                conn = await self._connect(host)
-        except (ConnectionLost, ProtocolError, TimedOut):
-            return  # The control link to the host shows and logs its loss.
-        finally:
-            self._dialling.discard(host)
-        await pool.release(conn)
-
-    async def send(self, host: HostInfo, call: Call, body: bytes):
-        """Return the answer of another host to a call; raise Refusal."""
-        conn = await self._take(host, call)
-        # Dialling may have taken a good part of the time that was left.
-        remaining = call.expires - self._clock.monotonic()
-        offer = route_offer_of(call, self._clock.monotonic())
-        try:
-            async with self._clock.timeout(min(remaining, ACCEPT_TIMEOUT_SECONDS)):
-                await conn.channel.send(offer)
-                await _send_body(conn.channel, body)
-                reply = await conn.channel.receive()
-        except SassafraskeelError as exc:
-            await conn.channel.close()
-            raise self._lost(call, host, exc) from exc
-        except BaseException:
-            await conn.channel.close()
-            raise
-        if isinstance(reply, Refuse):
-            pool = self._pools.setdefault(host, CallConnections(self._clock))
-            await pool.release(conn)
-            raise refusal_of(reply)
-        if not isinstance(reply, Accept):
-            await conn.channel.close()
-            raise self._lost(call, host, "wrong message")
-        return await self._finish(host, call, conn, None)
-
-    async def _take(self, host: HostInfo, call: Call) -> CallConnection:
-        pool = self._pools.setdefault(host, CallConnections(self._clock))
-        conn = pool.take()
-        if pool.fresh() < SPARE_CONNECTIONS:
-            await self._wake()
-        if conn is not None:
-            return conn
-        remaining = call.expires - self._clock.monotonic()
-        try:
-            async with self._clock.timeout(min(remaining, CONNECT_TIMEOUT_SECONDS)):
-                return await self._connect(host)
-        except (ConnectionLost, ProtocolError, TimedOut) as exc:
-            raise not_run(Reason.PEER_UNREACHABLE, f"{host.name}: {exc}") from exc
-
-
-async def _send_body(channel: Channel, body: bytes) -> None:
+async def send_body(channel: Channel, body: bytes) -> None:
+    """Write a body in parts that fit into messages."""
     start = 0
     while len(body) - start > MAX_PART_BYTES:
         await channel.send(BodyPart(body[start : start + MAX_PART_BYTES]))
@@ -367,83 +262,6 @@
     )
 
 
-def route_offer_of(call: Call, now: float) -> RouteOffer:
-    """Return the offer of a call of a route."""
-    timeout = call.expires - now
-    terms = call.terms
-    prompt = terms.prompt
-    rows = None
-    if prompt is not None:
-        parts = [list(part) for part in prompt.parts]
-        rows = [prompt.model, prompt.tokens_in, prompt.max_tokens_out, parts]
-    return RouteOffer(
-        call_id=call.call_id,
-        service=call.service,
-        kind=call.kind.value,
-        method=call.method,
-        path=call.path,
-        headers=call.headers,
-        timeout=timeout,
-        priority=call.priority,
-        hops=call.hops,
-        resume_after=call.resume_after,
-        terms=[*terms._replace(homes=sorted(terms.homes), prompt=rows)],
-        start_within=max(min(call.start_by - now, timeout), 0.0),
-    )
-
-
-def call_of_route(offer: RouteOffer, now: float) -> Call:
-    """Return the call of an offer; raise ProtocolError if it is malformed."""
-    if offer.kind not in set(CallKind):
-        raise ProtocolError(f"call kind {offer.kind!r} is not known")
-    return Call(
-        call_id=offer.call_id,
-        workspace="",
-        service=offer.service,
-        kind=CallKind(offer.kind),
-        method=offer.method,
-        path=offer.path,
-        headers=offer.headers,
-        expires=now + offer.timeout,
-        priority=offer.priority,
-        hops=offer.hops,
-        terms=_terms(offer.terms),
-        resume_after=offer.resume_after,
-        start_by=now + offer.start_within,
-    )
-
-
-def _terms(fields: list) -> Terms:
-    if len(fields) != len(Terms._fields):
-        raise ProtocolError("the terms of an offer have missing fields")
-    *plain, homes, prompt = fields
-    kinds = list(Terms.__annotations__.values())
-    values = [
-        decode_field(value, kind) for value, kind in zip(plain, kinds, strict=False)
-    ]
-    regions = frozenset(decode_field(region, str) for region in homes)
-    return Terms(*values, regions, _prompt(prompt))
-
-
-def _prompt(fields) -> Prompt | None:
-    if fields is None:
-        return None
-    try:
-        model, tokens_in, max_out, rows = decode_field(fields, list)
-        parts = [
-            PromptPart(decode_field(name, str), decode_field(tokens, int))
-            for name, tokens in rows
-        ]
-    except (TypeError, ValueError) as exc:
-        raise ProtocolError("the prompt of an offer is malformed") from exc
-    return Prompt(
-        decode_field(model, str),
-        decode_field(tokens_in, int),
-        decode_field(max_out, int),
-        tuple(parts),
-    )
-
-
 def refuse_of(refusal: Refusal) -> Refuse:
     """Return the message of a refusal."""
     retry_after = refusal.retry_after if refusal.retry_after is not None else -1.0
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -38,10 +38,10 @@
     MAX_AGE_SECONDS,
     MAX_PART_BYTES,
     call_of,
-    call_of_route,
     refuse_of,
 )
 from sassafraskeel.gateways.link import RequestHandler, serve_requests
+from sassafraskeel.gateways.route_forwarding import call_of_route
 
 MAX_CONTROL_LINKS = 512
 # Equal to the largest body that the settings allow callers to send.
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -32,10 +32,10 @@
 from sassafraskeel.decisions.prompts import PromptCaches
 from sassafraskeel.decisions.topology import linked_hosts
 from sassafraskeel.gateways.codec import Leaving, LoadNews
-from sassafraskeel.gateways.forwarding import RouteForwarder
 from sassafraskeel.gateways.leaving import tell_peers
 from sassafraskeel.gateways.links import Links
 from sassafraskeel.gateways.loads import LoadExchange
+from sassafraskeel.gateways.route_forwarding import RouteForwarder
 from sassafraskeel.gateways.server import GatewayServer, PeerParts
 from sassafraskeel.store.client import Store
 from sassafraskeel.store.facts import Decoder
