Give the slot back when the budget forbids a further send

Cause: the place of a call takes a slot before the retry budget is asked, and a refusal by the budget left without giving it back. Seen in the code while the two dispatchers were compared, and by a test: 60 calls rejected by all replicas left 12 slots taken at one of them, for as long as the host lived.

Change: the slot and the prompt tokens are given back before the refusal.

--- a/sassafraskeel/calls/route_dispatcher.py
+++ b/sassafraskeel/calls/route_dispatcher.py
@@ -118,8 +118,7 @@
         last: Refusal | None = None
         while True:
             try:
-                place = await self._placement.find(call, tried)
-                self._spend(call, tried)
+                place = await self._find(call, tried)
             except Refusal as refusal:
                 if failed is not None:
                     return failed
@@ -142,6 +141,15 @@
             tried.failed.add(place.name)
             failed = answer
 
+    async def _find(self, call: Call, tried: Tried) -> RoutePlace:
+        place = await self._placement.find(call, tried)
+        try:
+            self._spend(call, tried)
+        except Refusal:
+            await self._leave(place, call, prefilled=False)
+            raise
+        return place
+
     def _spend(self, call: Call, tried: Tried) -> None:
         """Count a send; raise Refusal if it repeats one without budget for it."""
         tried.sends += 1
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -110,10 +110,11 @@
         self.activity = Activity()
         self.metrics = Metrics(env.clock)
         self._recorder = CallRecorder(env.clock, env.log, self.metrics)
+        self.loads = Loads()
         self._beliefs = Beliefs(
             self.fleet,
             self.hosts,
-            Loads(),
+            self.loads,
             PromptCaches(),
             Health(RAMP_SECONDS),
             ColdPacer(own.name),
@@ -143,7 +144,7 @@
         cfg, env = self.cfg.peers, self._env
         exchange = LoadExchange(
             self.membership,
-            self._beliefs.loads,
+            self.loads,
             env.clock,
             lambda: self.fleet.version,
             lambda: self.activity.draining,
@@ -243,7 +244,7 @@
         """Take the load and state that came with an answer; implements Observer."""
         now = self.clock.monotonic()
         if head.requests is not None:
-            self._beliefs.loads.reported(replica.name, head.requests, now)
+            self.loads.reported(replica.name, head.requests, now)
         if head.cold_seconds:
             self.fleet.chill(replica.name, now)
 
@@ -328,7 +329,7 @@
 
     async def _on_change(self) -> None:
         names = self.fleet.names()
-        self._beliefs.loads.retain(names)
+        self.loads.retain(names)
         self._beliefs.prompts.retain(names)
         self._beliefs.health.retain(names)
         await self._wake.set()
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -209,6 +209,25 @@
         self.assertEqual(world.runs("late"), 0)
 
 
+class SlotTest(TestCase):
+    @with_routes
+    async def test_spent_budget_gives_slot_back(self, world):
+        """Guards against slots that stay taken when no further send is allowed."""
+        for replica in world.replicas:
+            replica.refuse = 1000
+        calls = [
+            await world.open_call("/read/stock", "GET", call_id=f"c-{number}")
+            for number in range(60)
+        ]
+        for conn in calls:
+            self.assertEqual((await conn.receive_head()).status, 503)
+            await conn.close()
+        await world.clock.sleep(1)
+        for replica in world.replicas:
+            taken = [host.loads.own(replica.name).running for host in world.hosts]
+            self.assertEqual(taken, [0, 0, 0], replica.name)
+
+
 class StreamTest(TestCase):
     @with_routes
     async def test_stream(self, world):
