Send calls of sheets and of routes through one loop

Cause: the two dispatchers each had their own loop over places, with their own record of what was tried and their own way to sum refusals up. The slot that was not given back was in only one of them.

A refusal is noted before the slot is given back, on both paths, so that no waiting call is sent to a replica that has just failed. A first answer that failed is returned where its repeat may not go on; before, some of these calls were refused. The own dispatcher's count of calls in flight had no reader and is gone.

--- a/sassafraskeel/callers/interface.py
+++ b/sassafraskeel/callers/interface.py
@@ -10,7 +10,7 @@
 from sassafraskeel.callers.refusals import JSON_HEADER, answer_of
 from sassafraskeel.callers.requests import parse_call
 from sassafraskeel.calls.activity import Activity
-from sassafraskeel.calls.dispatcher import Dispatcher
+from sassafraskeel.calls.sheet_calls import SheetCalls
 from sassafraskeel.core.errors import Reason, Refusal, not_run
 from sassafraskeel.core.http_requests import RequestLimits
 from sassafraskeel.core.settings import CallerSection
@@ -104,7 +104,7 @@
     def __init__(
         self,
         cfg: CallerSection,
-        dispatcher: Dispatcher,
+        dispatcher: SheetCalls,
         membership: Membership,
         activity: Activity,
     ):
--- a/sassafraskeel/calls/route_dispatcher.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -1,15 +1,11 @@
-"""What a host does with a call of a route, whichever peer it came from."""
+"""Calls of the routes of a manifest: checks, sends, repeats and resumption."""
 
 from typing import NamedTuple, Protocol
 
 from sassafraskeel.calls.answers import HeldAnswer
+from sassafraskeel.calls.attempts import Place, Tried, run_attempts
 from sassafraskeel.calls.event_streams import EventStream, is_event_stream
-from sassafraskeel.calls.route_placement import (
-    Beliefs,
-    RoutePlace,
-    RoutePlacement,
-    Tried,
-)
+from sassafraskeel.calls.route_placement import Beliefs, RoutePlacement
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -75,8 +71,11 @@
     hosts: HostSender
 
 
-class RouteDispatcher:
-    """Carries calls of routes to a replica, or to a host of another region."""
+class RouteCalls:
+    """Carries calls of routes to a replica, or to a host of another region.
+
+    Implements CallDispatcher and CallRules.
+    """
 
     def __init__(
         self,
@@ -111,37 +110,9 @@
         """Return the answer to a call that was checked; raise Refusal."""
         if not call.hops:
             self._budget.offered(call.service, self._clock.monotonic())
-        return await self._run(call, body, Tried())
+        return await run_attempts(self, call, body, Tried())
 
-    async def _run(self, call: Call, body: bytes, tried: Tried) -> Answer:
-        failed: Answer | None = None
-        last: Refusal | None = None
-        while True:
-            try:
-                place = await self._find(call, tried)
-            except Refusal as refusal:
-                if failed is not None:
-                    return failed
-                raise _summary(last, refusal, tried) from refusal
-            try:
-                answer = await self._carry(place, call, body, tried)
-            except Refusal as refusal:
-                self._note_refusal(place, refusal, tried)
-                self._log_attempt(call, place, refusal, tried)
-                last = _worse(last, refusal)
-                if failed is not None and not self._may_repeat(call, tried):
-                    return failed
-                if not self._may_go_on(call, refusal, tried):
-                    raise _summary(last, refusal, tried) from refusal
-                continue
-            if answer.head.status < FAILURE_STATUS or not self._may_repeat(call, tried):
-                return answer
-            if failed is not None:
-                return answer  # Most calls that fail twice fail every time.
-            tried.failed.add(place.name)
-            failed = answer
-
-    async def _find(self, call: Call, tried: Tried) -> RoutePlace:
+    async def find(self, call: Call, body: bytes, tried: Tried) -> Place:
         place = await self._placement.find(call, tried)
         try:
             self._spend(call, tried)
@@ -151,8 +122,7 @@
         return place
 
     def _spend(self, call: Call, tried: Tried) -> None:
-        """Count a send; raise Refusal if it repeats one without budget for it."""
-        tried.sends += 1
+        """Count a repeat; raise Refusal if there is no budget for it."""
         if not tried.arrivals:
             return
         now = self._clock.monotonic()
@@ -161,21 +131,28 @@
             raise not_run(Reason.OVERLOADED, "no budget for another send", 0.5)
         self._budget.repeated(call.service, now)
 
-    async def _carry(self, place, call, body, tried) -> Answer:
-        started = self._clock.monotonic()
-        self._log_send(call, place, tried, started)
+    async def carry(
+        self, place: Place, call: Call, body: bytes, tried: Tried
+    ) -> Answer:
+        self._log_send(call, place, tried)
         try:
             if place.host is not None:
                 return await self._carry_to_host(place, call, body, tried)
-            answer = await self._send(place, call, body, tried)
-        except BaseException:
+            return await self._carry_to_replica(place, call, body, tried)
+        except BaseException as exc:
+            if isinstance(exc, Refusal):
+                self._note_refusal(place, exc, tried)
+                self._log_attempt(call, place, exc, tried)
             await self._leave(place, call, prefilled=False)
             raise
+
+    async def _carry_to_replica(self, place, call, body, tried) -> Answer:
+        started = self._clock.monotonic()
+        answer = await self._send(place, call, body, tried)
         try:
             return await self._receive(place, call, body, answer, tried, started)
         except BaseException:
             await answer.close()
-            await self._leave(place, call, prefilled=False)
             raise
 
     async def _carry_to_host(self, place, call, body, tried) -> Answer:
@@ -188,8 +165,8 @@
             return EventStream(answer, self._resume(call, body, tried))
         return await self._whole(place, answer)
 
-    async def _send(self, place: RoutePlace, call, body, tried):
-        replica = place.replica
+    async def _send(self, place: Place, call, body, tried):
+        replica = place.upstream
         patience = None
         if call.terms.repeatable and self._may_repeat(call, tried, more=1):
             patience = self._patience(place, call)
@@ -202,7 +179,7 @@
         return await self._senders.replicas.send(replica, call, body, check, patience)
 
     async def _receive(self, place, call, body, answer, tried, started) -> Answer:
-        replica = place.replica
+        replica = place.upstream
         tried.arrivals += 1
         tried.ran.add(replica.name)
         self._note_alive(replica)
@@ -210,8 +187,7 @@
         async def leave(whole: bool) -> None:
             seconds = self._clock.monotonic() - started
             if whole:
-                work = call.kind.value
-                self._beliefs.times.record(call.service, work, seconds)
+                self._beliefs.times.record(call.service, place.work, seconds)
             await self._leave(place, call, prefilled=True)
 
         # The head comes with the first token, so the prompt has been read.
@@ -268,7 +244,7 @@
                 resume_after=last_id or call.resume_after,
                 start_by=self._clock.monotonic() + RESUME_SECONDS,
             )
-            answer = await self._run(resumed, body, tried)
+            answer = await run_attempts(self, resumed, body, tried)
             if answer.head.status >= 300 or not is_event_stream(answer.head):
                 await answer.close()
                 raise unknown(Reason.UPSTREAM_FAILED, "the stream was not resumed")
@@ -276,14 +252,14 @@
 
         return resume
 
-    async def _leave(self, place: RoutePlace, call: Call, prefilled: bool) -> None:
-        if place.replica is None:
+    async def _leave(self, place: Place, call: Call, prefilled: bool) -> None:
+        if place.upstream is None:
             return
         if not prefilled:
             self._beliefs.loads.prefilled(place.name, place.tokens)
         await self._placement.leave(place, call.service)
 
-    def _patience(self, place: RoutePlace, call: Call) -> float:
+    def _patience(self, place: Place, call: Call) -> float:
         if call.kind is CallKind.MODEL:
             least = STREAM_PATIENCE_SECONDS
         else:
@@ -302,7 +278,10 @@
             and self._budget.allows(call.service, self._beliefs.hosts.count(now), now)
         )
 
-    def _may_go_on(self, call: Call, refusal: Refusal, tried: Tried) -> bool:
+    def may_replace(self, call: Call, answer: Answer, tried: Tried) -> bool:
+        return answer.head.status >= FAILURE_STATUS and self._may_repeat(call, tried)
+
+    def may_go_on(self, call: Call, refusal: Refusal, tried: Tried) -> bool:
         if tried.sends >= MAX_SENDS or refusal.reason is Reason.DEADLINE:
             return False
         if refusal.reason is Reason.RESIDENCY:
@@ -311,7 +290,7 @@
             return call.expires > self._clock.monotonic()
         return self._may_repeat(call, tried)
 
-    def _note_refusal(self, place: RoutePlace, refusal: Refusal, tried: Tried) -> None:
+    def _note_refusal(self, place: Place, refusal: Refusal, tried: Tried) -> None:
         reached = refusal.outcome is Outcome.UNKNOWN or refusal.reason in (
             Reason.UPSTREAM_REFUSED,
             Reason.NO_UPSTREAM,
@@ -320,8 +299,7 @@
             tried.arrivals += 1
         if refusal.outcome is Outcome.UNKNOWN:
             tried.ran.add(place.name)
-        tried.lost.add(place.name)
-        if place.replica is None or refusal.reason is Reason.DEADLINE:
+        if place.upstream is None or refusal.reason is Reason.DEADLINE:
             return
         now = self._clock.monotonic()
         health, fleet = self._beliefs.health, self._beliefs.fleet
@@ -332,7 +310,7 @@
                 # No connection could be opened; it may come back cold.
                 fleet.chill(place.name, now)
         elif refusal.reason is Reason.NO_UPSTREAM and fleet.takes_work(
-            place.replica, now
+            place.upstream, now
         ):
             # Another replica has the address; the entry is about to change.
             health.failed(place.name, now)
@@ -344,7 +322,8 @@
             health.succeeded(replica.name, now)
             self._beliefs.fleet.chill(replica.name, now)
 
-    def _log_send(self, call: Call, place: RoutePlace, tried: Tried, now: float):
+    def _log_send(self, call: Call, place: Place, tried: Tried) -> None:
+        now = self._clock.monotonic()
         self._log.emit(
             Event.CALL_SENT,
             call=call.call_id,
@@ -372,17 +351,3 @@
             sends=tried.sends,
             predicted_ms=round(place.seconds * 1000),
         )
-
-
-def _worse(first: Refusal | None, second: Refusal) -> Refusal:
-    """Return the refusal that says less about whether the call ran."""
-    if first is not None and first.outcome is Outcome.UNKNOWN:
-        return first
-    return second
-
-
-def _summary(last: Refusal | None, refusal: Refusal, tried: Tried) -> Refusal:
-    """Return the refusal that is true of all sends together."""
-    chosen = refusal if last is None else _worse(last, refusal)
-    chosen.attempts = tried.sends
-    return chosen
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from sassafraskeel.calls.attempts import Place, Tried
 from sassafraskeel.calls.slots import SlotQueues, Wanted
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run
@@ -40,40 +41,6 @@
 NO_REPLICA_RETRY_SECONDS = 2.0
 
 
-class RoutePlace(NamedTuple):
-    """A replica with a slot taken, or a host of another region.
-
-    `tokens` are the prompt tokens that the replica is believed to have to read, and
-    `seconds` the predicted time until its first byte.
-    """
-
-    replica: Replica | None
-    host: HostInfo | None
-    tokens: int
-    seconds: float
-
-    @property
-    def name(self) -> str:
-        """Return the name of the replica or host."""
-        return self.replica.name if self.replica else self.host.name
-
-
-class Tried:
-    """Where a call was sent before.
-
-    `lost` replicas and hosts are not used again, `failed` ones only for want of a
-    better one. `arrivals` counts sends that a replica may have counted, and `ran`
-    holds the replicas that may have run the call.
-    """
-
-    def __init__(self):
-        self.lost: set[str] = set()
-        self.failed: set[str] = set()
-        self.ran: set[str] = set()
-        self.arrivals = 0
-        self.sends = 0
-
-
 class _View(NamedTuple):
     """The replicas of a service by region, as of some time and state of the fleet."""
 
@@ -117,7 +84,7 @@
         """Return how many calls wait for a slot of a service."""
         return self._queues.length(service)
 
-    async def find(self, call: Call, tried: Tried) -> RoutePlace:
+    async def find(self, call: Call, tried: Tried) -> Place:
         """Return a place; raise Refusal (not run) if there is none in time."""
         waited_until = self._clock.monotonic() + NO_REPLICA_WAIT_SECONDS
         expires = min(call.expires, call.start_by)
@@ -139,13 +106,13 @@
                 raise not_run(Reason.NO_UPSTREAM, detail, NO_REPLICA_RETRY_SECONDS)
             await self._clock.sleep(NO_REPLICA_POLL_SECONDS)
 
-    async def leave(self, place: RoutePlace, service: str) -> None:
+    async def leave(self, place: Place, service: str) -> None:
         """Give a slot back and serve the calls that wait for it."""
-        if place.replica is not None:
-            self._give_back(place.replica)
+        if place.upstream is not None:
+            self._give_back(place.upstream)
             await self._queues.serve(service)
 
-    def _place(self, call: Call, tried: Tried, now: float) -> RoutePlace | None:
+    def _place(self, call: Call, tried: Tried, now: float) -> Place | None:
         """Return the best place that takes the call at once, or None."""
         local = self._local(call, tried, now, free=True)
         if self._queues.length(call.service) and not call.hops:
@@ -154,18 +121,18 @@
         if not call.hops and is_worth_leaving(best, call.terms.objective):
             remote = self._best_region(call, tried, now, free=True)
             if remote is not None and prefers_region(best, remote[0]):
-                return RoutePlace(None, remote[1], 0, remote[0])
+                return _remote_place(*remote)
         if local:
             return self._take(call, choose_option(local, self._rng), now)
         if call.hops or self._local(call, tried, now, free=False):
             return None
         # No replica of the own region can ever take it, so it waits in another one.
         remote = self._best_region(call, tried, now, free=False)
-        return RoutePlace(None, remote[1], 0, remote[0]) if remote else None
+        return _remote_place(*remote) if remote else None
 
-    async def _wait(self, call: Call, tried: Tried, now: float) -> RoutePlace | None:
+    async def _wait(self, call: Call, tried: Tried, now: float) -> Place | None:
         """Wait for a slot; return None when other regions are to be looked at again."""
-        taken: dict[str, RoutePlace] = {}
+        taken: dict[str, Place] = {}
         expires = min(call.expires, call.start_by)
         look_at = min(expires, now + call.terms.objective / 2)
 
@@ -175,7 +142,7 @@
             if local:
                 place = self._take(call, choose_option(local, self._rng), now)
                 taken[place.name] = place
-                return place.replica
+                return place.upstream
             return None
 
         wanted = Wanted(
@@ -199,7 +166,7 @@
             raise
         return taken[replica.name]
 
-    def _take(self, call: Call, option: Option, now: float) -> RoutePlace:
+    def _take(self, call: Call, option: Option, now: float) -> Place:
         beliefs, replica = self._beliefs, option.replica
         prompt = call.terms.prompt
         tokens = 0
@@ -212,7 +179,9 @@
         spec = beliefs.fleet.service(replica.service)
         if beliefs.fleet.is_cold(replica, now):
             beliefs.pacer.sent(replica.name, spec.cold_rate, now)
-        return RoutePlace(replica, None, tokens, option.seconds)
+        return Place(
+            replica.name, replica, None, call.kind.value, tokens, option.seconds
+        )
 
     def _give_back(self, replica: Replica) -> None:
         self._beliefs.loads.finished(replica.name)
@@ -321,3 +290,7 @@
         spec = self._beliefs.fleet.service(replica.service)
         running = self._beliefs.loads.total(replica.name, now).running
         return running < slot_limit(replica, spec)
+
+
+def _remote_place(seconds: float, host: HostInfo) -> Place:
+    return Place(host.name, None, host, seconds=seconds)
--- a/sassafraskeel/calls/dispatcher.py
+++ b/sassafraskeel/calls/sheet_calls.py
@@ -1,13 +1,14 @@
-"""What a host does with a call, whichever peer it came from."""
+"""Calls of the services of a sheet: checks, sends and the orders' own way."""
 
 import hashlib
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from sassafraskeel.calls.answers import ATTEMPTS_HEADER, SERVED_BY_HEADER, HeldAnswer
+from sassafraskeel.calls.attempts import Place, Tried, run_attempts
 from sassafraskeel.calls.orders import Orders, Ways
-from sassafraskeel.calls.placement import Place, Placement
 from sassafraskeel.calls.policies import retry_policy
+from sassafraskeel.calls.sheet_placement import SheetPlacement
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     Outcome,
@@ -54,8 +55,11 @@
     hosts: HostCarrier
 
 
-class Dispatcher:
-    """Checks calls and carries them to an upstream or another host."""
+class SheetCalls:
+    """Checks calls and carries them to an upstream or another host.
+
+    Implements CallDispatcher and CallRules.
+    """
 
     def __init__(
         self,
@@ -64,7 +68,7 @@
         membership: Membership,
         carriers: Carriers,
         sheet: Callable[[], Sheet | None],
-        placement: Placement,
+        placement: SheetPlacement,
         orders: Orders,
     ):
         self._cfg = cfg
@@ -76,7 +80,6 @@
         self._orders = orders
         self._retries = retry_policy(cfg.limits)
         self._prefix_key = hashlib.sha256(cfg.gateways.token.encode()).digest()
-        self.in_flight = 0
 
     def sheet(self) -> Sheet:
         """Return the sheet in force; raise Refusal while there is none."""
@@ -105,33 +108,28 @@
 
     async def run(self, call: Call, body: bytes) -> Answer:
         """Return the answer to a call that was checked; raise Refusal."""
-        self.in_flight += 1
-        try:
-            answer = await self._run(call, body)
-        except BaseException:
-            self.in_flight -= 1
-            raise
-        return answer
-
-    async def _run(self, call: Call, body: bytes) -> Answer:
         if call.kind is CallKind.ORDER:
             return await self._run_order(call, body)
-        profile = profile_of(call, body, self._prefix_key)
         self._retries.offered()
-        tried: set[str] = set()
-        first = None
-        while True:
-            try:
-                place = await self._placement.find(self.sheet, call, profile, tried)
-            except Refusal as refusal:
-                raise _summary(first, refusal, len(tried)) from refusal
-            tried.add(place.name)
-            try:
-                return await self._carry(place, call, body, profile.work, len(tried))
-            except Refusal as refusal:
-                if not self._may_retry(call, refusal, len(tried)):
-                    raise _summary(first, refusal, len(tried)) from refusal
-                first = first or refusal
+        return await run_attempts(self, call, body, Tried())
+
+    async def find(self, call: Call, body: bytes, tried: Tried) -> Place:
+        profile = profile_of(call, body, self._prefix_key)
+        place = await self._placement.find(self.sheet, call, profile, tried.lost)
+        return place._replace(work=profile.work)
+
+    async def carry(
+        self, place: Place, call: Call, body: bytes, tried: Tried
+    ) -> Answer:
+        return await self._carry(place, call, body, tried.sends)
+
+    def may_go_on(self, call: Call, refusal: Refusal, tried: Tried) -> bool:
+        in_time = call.expires > self._clock.monotonic()
+        return in_time and self._retries.allows(call, refusal, tried.sends)
+
+    def may_replace(self, call: Call, answer: Answer, tried: Tried) -> bool:
+        """Return False: a caller of a sheet's service gets what its upstream said."""
+        return False
 
     async def _run_order(self, call: Call, body: bytes) -> Answer:
         home = home_of(self.sheet(), call.workspace, call.service)
@@ -142,14 +140,14 @@
         answer = await self._orders.run(call, body, ways)
 
         async def leave(whole: bool) -> None:
-            self.in_flight -= 1
+            pass  # The answer holds the place of its dispatch.
 
         return HeldAnswer(answer, ((SERVED_BY_HEADER, domain.encode()),), leave)
 
     async def _send_home(self, home: str, call: Call, body: bytes) -> Answer:
         try:
             place = self._placement.find_host(home, call)
-            return await self._carry(place, call, body, call.kind.value, 1)
+            return await self._carry_order(place, call, body)
         except Refusal as refusal:
             if refusal.reason not in (Reason.NO_UPSTREAM, Reason.PEER_UNREACHABLE):
                 raise
@@ -167,12 +165,8 @@
         return await self._carry_order(place, call, body)
 
     async def _carry_order(self, place, call, body, check=None) -> Answer:
-        self.in_flight += 1  # Given back when the upstream's answer is closed.
-        try:
-            return await self._carry(place, call, body, call.kind.value, 1, check)
-        except BaseException:
-            self.in_flight -= 1
-            raise
+        place = place._replace(work=call.kind.value)
+        return await self._carry(place, call, body, 1, check)
 
     def _find_member(self, name: str, incarnation: str) -> HostInfo | None:
         member = self._membership.member(name)
@@ -184,7 +178,6 @@
         place: Place,
         call: Call,
         body: bytes,
-        work: str,
         attempts: int,
         check=None,
     ) -> Answer:
@@ -197,10 +190,9 @@
             raise
 
         async def leave(whole: bool) -> None:
-            self.in_flight -= 1
             if whole:
                 seconds = self._clock.monotonic() - started
-                self._note_success(place, call, work, seconds)
+                self._note_success(place, call, seconds)
             await self._placement.leave(place)
 
         if not call.hops:
@@ -233,25 +225,13 @@
             silent = isinstance(exc.__cause__, TimedOut)
             self._placement.domains.failed(place.host, silent, now)
 
-    def _note_success(self, place: Place, call: Call, work: str, seconds: float):
+    def _note_success(self, place: Place, call: Call, seconds: float) -> None:
         now = self._clock.monotonic()
         if place.host is not None:
             self._placement.domains.succeeded(place.host, now)
         else:
             self._placement.estimates.health.succeeded(place.name, now)
-            self._placement.times.record(call.service, work, seconds)
-
-    def _may_retry(self, call: Call, refusal: Refusal, attempts: int) -> bool:
-        in_time = call.expires > self._clock.monotonic()
-        return in_time and self._retries.allows(call, refusal, attempts)
-
-
-def _summary(first: Refusal | None, last: Refusal, attempts: int) -> Refusal:
-    """Return the refusal that is true of all attempts together."""
-    unsure = first is not None and first.outcome is Outcome.UNKNOWN
-    refusal = first if unsure else last
-    refusal.attempts = attempts
-    return refusal
+            self._placement.times.record(call.service, place.work, seconds)
 
 
 def _ran_out_of_time(refusal: Refusal) -> bool:
--- a/sassafraskeel/calls/placement.py
+++ b/sassafraskeel/calls/sheet_placement.py
@@ -2,8 +2,8 @@
 
 import random
 from collections.abc import Callable
-from typing import NamedTuple
 
+from sassafraskeel.calls.attempts import Place
 from sassafraskeel.calls.slots import SlotQueues, Wanted
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import Reason, Refusal, not_run
@@ -31,15 +31,7 @@
 SheetSource = Callable[[], Sheet]
 
 
-class Place(NamedTuple):
-    """Where a call runs: a slot of an upstream, or a host of another domain."""
-
-    name: str
-    upstream: Upstream | None
-    host: HostInfo | None
-
-
-class Placement:
+class SheetPlacement:
     """Chooses places with a routing policy and keeps account of slots."""
 
     def __init__(
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -9,12 +9,12 @@
 from sassafraskeel.callers.interface import OwnInterface
 from sassafraskeel.callers.server import CallerParts, CallerServer
 from sassafraskeel.calls.activity import Activity
-from sassafraskeel.calls.dispatcher import Carriers, Dispatcher
 from sassafraskeel.calls.models import ModelHosts
 from sassafraskeel.calls.orders import Orders
-from sassafraskeel.calls.placement import Placement
 from sassafraskeel.calls.policies import routing_policy
 from sassafraskeel.calls.record import CallRecorder
+from sassafraskeel.calls.sheet_calls import Carriers, SheetCalls
+from sassafraskeel.calls.sheet_placement import SheetPlacement
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
@@ -123,7 +123,7 @@
         self._forwarder = Forwarder(
             cfg.gateways, own, env.clock, env.network, self._sheet_version
         )
-        self.placement = Placement(
+        self.placement = SheetPlacement(
             cfg.limits,
             env.clock,
             env.rng,
@@ -133,7 +133,7 @@
             routing_policy(cfg.limits),
             self.upstreams.reports.takes_work,
         )
-        self.dispatcher = Dispatcher(
+        self.dispatcher = SheetCalls(
             cfg,
             env.clock,
             self.membership,
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -10,7 +10,7 @@
 from sassafraskeel.callers.server import CallerParts, CallerServer
 from sassafraskeel.calls.activity import Activity
 from sassafraskeel.calls.record import CallRecorder
-from sassafraskeel.calls.route_dispatcher import RouteDispatcher, Senders
+from sassafraskeel.calls.route_calls import RouteCalls, Senders
 from sassafraskeel.calls.route_placement import Beliefs, RoutePlacement
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import TimedOut
@@ -186,7 +186,7 @@
         self.placement = RoutePlacement(
             env.clock, env.rng, self._beliefs, self._forwarder.spares
         )
-        self.dispatcher = RouteDispatcher(
+        self.dispatcher = RouteCalls(
             env.clock,
             env.log,
             self._beliefs,
