Reach other regions in bursts and while their hosts are being stopped

At 36.4 to 37.4 s, after all hosts were switched off, each host sent all calls of a burst to casa, because no heartbeat showed yet what it had sent itself, and each call waited 0.7 s for a connection: two spare ones were kept.

Change: hosts that are being stopped take forwarded calls for 4.5 s, and are used where their region has no other. Six spare connections.

--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -11,6 +11,7 @@
 from sassafraskeel.core.types import Call, HostInfo, Prompt
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
+from sassafraskeel.decisions.forwards import Forwards
 from sassafraskeel.decisions.health import Health
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.decisions.loads import Loads
@@ -19,6 +20,7 @@
     REGION_SECONDS,
     ZONE_SECONDS,
     Option,
+    busy_seconds,
     choose_option,
     is_worth_leaving,
     predicted_seconds,
@@ -49,6 +51,15 @@
     regions: dict[str, list[Replica]]
 
 
+class _Region(NamedTuple):
+    """Another region with the predicted time of its best replica, the way included."""
+
+    name: str
+    hosts: list[HostInfo]
+    seconds: float
+    busy: float
+
+
 class Beliefs(NamedTuple):
     """What a host believes, as its placement uses it."""
 
@@ -59,6 +70,7 @@
     health: Health
     pacer: ColdPacer
     times: ServiceTimes
+    forwards: Forwards
 
 
 class RoutePlacement:
@@ -120,15 +132,15 @@
         best = min((option.seconds for option in local), default=None)
         if not call.hops and is_worth_leaving(best, call.terms.objective):
             remote = self._best_region(call, tried, now, free=True)
-            if remote is not None and prefers_region(best, remote[0]):
-                return _remote_place(*remote)
+            if remote is not None and prefers_region(best, remote.seconds):
+                return self._forward(call, remote, now)
         if local:
             return self._take(call, choose_option(local, self._rng), now)
         if call.hops or self._local(call, tried, now, free=False):
             return None
         # No replica of the own region can ever take it, so it waits in another one.
         remote = self._best_region(call, tried, now, free=False)
-        return _remote_place(*remote) if remote else None
+        return self._forward(call, remote, now) if remote else None
 
     async def _wait(self, call: Call, tried: Tried, now: float) -> Place | None:
         """Wait for a slot; return None when other regions are to be looked at again."""
@@ -214,8 +226,7 @@
         ]
         return self._options(call, usable, replicas, tried, now)
 
-    def _best_region(self, call, tried, now, free):
-        """Return the predicted seconds and a host of the best other region."""
+    def _best_region(self, call, tried, now, free) -> _Region | None:
         beliefs = self._beliefs
         best = None
         for region in beliefs.hosts.regions(now):
@@ -236,11 +247,18 @@
             if not hosts or not usable:
                 continue
             options = self._options(call, usable, replicas, tried, now)
-            seconds = min(option.seconds for option in options) + REGION_SECONDS
-            if best is None or seconds < best[0]:
-                best = seconds, self._choose_host(hosts)
+            option = min(options, key=lambda option: option.seconds)
+            unseen = beliefs.forwards.unseen(region, call.service, now)
+            seconds = option.seconds + unseen / len(options) + REGION_SECONDS
+            if best is None or seconds < best.seconds:
+                best = _Region(region, hosts, seconds, option.busy)
         return best
 
+    def _forward(self, call: Call, remote: _Region, now: float) -> Place:
+        host = self._choose_host(remote.hosts)
+        self._beliefs.forwards.sent(remote.name, call.service, remote.busy, now)
+        return Place(host.name, None, host, seconds=remote.seconds)
+
     def _choose_host(self, hosts: list[HostInfo]) -> HostInfo:
         """Return one of the hosts to which a connection is open, if there is one."""
         ready = [host for host in hosts if self._spares(host)]
@@ -265,7 +283,8 @@
                 seconds += ZONE_SECONDS
             if replica.name in tried.failed:
                 seconds += SOFT_FAILURE_SECONDS
-            options.append(Option(replica, seconds, held))
+            busy = busy_seconds(replica, spec, prompt, held, work)
+            options.append(Option(replica, seconds, held, busy))
         return options
 
     def _held(self, prompt: Prompt | None, name: str, favourite: str) -> int:
@@ -290,7 +309,3 @@
         spec = self._beliefs.fleet.service(replica.service)
         running = self._beliefs.loads.total(replica.name, now).running
         return running < slot_limit(replica, spec)
-
-
-def _remote_place(seconds: float, host: HostInfo) -> Place:
-    return Place(host.name, None, host, seconds=seconds)
--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -14,6 +14,8 @@
 # A host that is being stopped listens for three seconds; callers use an answer for two,
 # most of them at once.
 LISTEN_SECONDS = 2.0
+# It takes forwarded calls for 4.5 s, unless it has nothing more to finish.
+FORWARDED_SECONDS = 4.0
 # It ends within a grace of eight seconds and is back some seconds later.
 STOP_SECONDS = 12.0
 # Liveness changes in seconds, and each call asks several times.
@@ -85,12 +87,12 @@
         hosts |= self._registered
         return [hosts[name] for name in sorted(hosts)]
 
-    def is_linked(self, host: HostInfo, now: float) -> bool:
+    def is_linked(self, host: HostInfo, now: float, draining: bool = False) -> bool:
         """Return whether a host answered on its link a moment ago and takes work."""
         member = self.membership.member(host.name)
         if member is None or member.info.incarnation != host.incarnation:
             return False
-        return not member.draining and now - member.heard_at < LINK_SECONDS
+        return member.draining == draining and now - member.heard_at < LINK_SECONDS
 
     def is_suspect(self, host: HostInfo, now: float) -> bool:
         """Return whether a host drains, or had a link that is silent."""
@@ -100,7 +102,11 @@
         return member.draining or now - member.heard_at >= LINK_SECONDS
 
     def reachable(self, region: str, now: float) -> list[HostInfo]:
-        """Return the other hosts of a region that may get forwarded calls."""
+        """Return the other hosts of a region that may get forwarded calls.
+
+        Where all hosts of a region are being stopped, those are named that still take
+        forwarded calls: only hosts of its own region reach the region's replicas.
+        """
         return self._current(now).reachable.get(region, [])
 
     def regions(self, now: float) -> list[str]:
@@ -124,17 +130,27 @@
     def _make_view(self, now: float) -> _View:
         own = self.region_of(self.own)
         reachable: dict[str, list[HostInfo]] = {}
+        stopping: dict[str, list[HostInfo]] = {}
         neighbours, alive = set(), 0
         for host in self.known():
             region = self.region_of(host)
             if self.is_linked(host, now):
                 reachable.setdefault(region, []).append(host)
+            elif self._still_takes_calls(host, now):
+                stopping.setdefault(region, []).append(host)
             if self._is_alive(host, now):
                 alive += 1
                 if region == own:
                     neighbours.add(host.name)
+        reachable = stopping | reachable
         return _View(now, dict(sorted(reachable.items())), neighbours, alive)
 
+    def _still_takes_calls(self, host: HostInfo, now: float) -> bool:
+        self._note_stopping(now)
+        since = self._draining.get(host, now)
+        linked = self.is_linked(host, now, draining=True)
+        return linked and now - since < FORWARDED_SECONDS
+
     def for_callers(
         self, region: str, homes: frozenset[str], draining: bool, now: float
     ) -> list[HostInfo]:
@@ -145,7 +161,7 @@
         that none: the others come back within seconds, and a region that is no home
         must not get the calls. Only without any of them are other regions named.
         """
-        self._note_draining(draining, now)
+        self._note_stopping(now, draining)
         hosts = [host for host in self.known() if self._is_alive(host, now)]
         if not draining:
             hosts.append(self.own)
@@ -162,7 +178,7 @@
             return [host for host, since in stopping if now - since < LISTEN_SECONDS]
         return hosts
 
-    def _note_draining(self, draining: bool, now: float) -> None:
+    def _note_stopping(self, now: float, draining: bool = False) -> None:
         members = self.membership.members()
         hosts = {member.info for member in members if member.draining}
         if draining:
--- a/sassafraskeel/decisions/placing.py
+++ b/sassafraskeel/decisions/placing.py
@@ -28,12 +28,14 @@
 class Option(NamedTuple):
     """A replica with the predicted seconds until its first byte.
 
-    `held_tokens` of the prompt are believed to be in its memory.
+    `held_tokens` of the prompt are believed to be in its memory. `busy` are the
+    seconds by which the call delays the next ones.
     """
 
     replica: Replica
     seconds: float
     held_tokens: int
+    busy: float = 0.0
 
 
 def slot_limit(replica: Replica, spec: ServiceSpec | None) -> int:
@@ -60,6 +62,15 @@
     return seconds + work * load.running / max(replica.slots, 1) + waiting * work
 
 
+def busy_seconds(
+    replica: Replica, spec: ServiceSpec | None, prompt: Prompt | None, held, work
+) -> float:
+    """Return by how much a call delays those that come after it at its replica."""
+    if spec is not None and spec.engine is not None and prompt is not None:
+        return max(prompt.tokens_in - held, 0) / PREFILL_TOKENS_PER_SECOND
+    return work / max(replica.slots, 1)
+
+
 def choose_option(options: list[Option], rng) -> Option | None:
     """Return one of the options that are about as good as the best."""
     if not options:
--- a/sassafraskeel/gateways/route_forwarding.py
+++ b/sassafraskeel/gateways/route_forwarding.py
@@ -1,5 +1,6 @@
 """Forwarding a call of a route: header and body in one flight, on spare connections."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from sassafraskeel.core.clock import Clock
@@ -11,6 +12,8 @@
     TimedOut,
     not_run,
 )
+from sassafraskeel.core.events import Event
+from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.net import Network
 from sassafraskeel.core.settings import GatewaySection
 from sassafraskeel.core.tasks import Group
@@ -34,7 +37,11 @@
 # Dialling another region takes three round trips of 160 ms, an answer to an offer one.
 CONNECT_TIMEOUT_SECONDS = 1.0
 ACCEPT_TIMEOUT_SECONDS = 0.8
-SPARE_CONNECTIONS = 2
+# Opening another one takes four round trips, 0.7 s between regions, and a burst after
+# a start or a shift of callers forwards tens of calls in that time.
+SPARE_CONNECTIONS = 6
+# Bounds the memory of a host that is linked to many regions.
+MAX_SPARE_CONNECTIONS = 64
 
 
 class RouteForwarder(Forwarder):
@@ -52,11 +59,14 @@
         clock: Clock,
         network: Network,
         version,
+        log: LogSink,
         wake: Callable[[], Awaitable[None]],
     ):
         super().__init__(cfg, own, clock, network, version)
+        self._log = log
         self._wake = wake
-        self._dialling: set[HostInfo] = set()
+        self._dialling: Counter[HostInfo] = Counter()
+        self._spares_wanted = SPARE_CONNECTIONS
 
     def spares(self, host: HostInfo) -> int:
         """Return how many open connections to a host are not in use."""
@@ -64,26 +74,27 @@
         return pool.fresh() if pool else 0
 
     async def keep_spares(self, hosts: list[HostInfo], group: Group) -> None:
-        """Open a spare connection to each host that has none, and drop other hosts.
-
-        Opening one while a call waits would take three round trips between regions.
-        """
+        """Open the spare connections that are missing, and drop other hosts."""
         for host in [host for host in self._pools if host not in hosts]:
             await self._pools.pop(host).close()
+        share = MAX_SPARE_CONNECTIONS // max(len(hosts), 1)
+        self._spares_wanted = min(max(share, 1), SPARE_CONNECTIONS)
         for host in hosts:
             pool = self._pools.setdefault(host, CallConnections(self._clock))
-            if pool.fresh() < SPARE_CONNECTIONS and host not in self._dialling:
-                self._dialling.add(host)
+            ready = pool.fresh() + self._dialling[host]
+            for _ in range(ready, self._spares_wanted):
+                self._dialling[host] += 1
                 await group.spawn(self._open_spare, host, pool)
 
     async def _open_spare(self, host: HostInfo, pool: CallConnections) -> None:
         try:
             async with self._clock.timeout(CONNECT_TIMEOUT_SECONDS):
                 conn = await self._connect(host)
-        except (ConnectionLost, ProtocolError, TimedOut):
-            return  # The control link to the host shows and logs its loss.
+        except (ConnectionLost, ProtocolError, TimedOut) as exc:
+            self._log.emit(Event.SPARE_FAILED, peer=host.name, detail=str(exc))
+            return
         finally:
-            self._dialling.discard(host)
+            self._dialling -= Counter((host,))
         await pool.release(conn)
 
     async def send(self, host: HostInfo, call: Call, body: bytes):
@@ -115,7 +126,7 @@
     async def _take(self, host: HostInfo, call: Call) -> CallConnection:
         pool = self._pools.setdefault(host, CallConnections(self._clock))
         conn = pool.take()
-        if pool.fresh() < SPARE_CONNECTIONS:
+        if pool.fresh() < self._spares_wanted:
             await self._wake()
         if conn is not None:
             return conn
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -24,6 +24,7 @@
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
 from sassafraskeel.decisions.fleet_budget import FleetRetryBudget
+from sassafraskeel.decisions.forwards import Forwards
 from sassafraskeel.decisions.health import Health
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.decisions.loads import Loads
@@ -54,6 +55,9 @@
 # Callers that have not heard of a stop yet are still served for this long; the
 # directory's answers are valid for two seconds.
 LISTEN_SECONDS = 3.0
+# While it finishes its calls, a host takes forwarded ones: it may be the last one that
+# reaches its region's replicas. The rest of the grace is for these to end.
+FORWARDED_SECONDS = 4.5
 # The platform kills a host at the end of its grace; this is left for the way out.
 GRACE_MARGIN_SECONDS = 0.5
 LEAVE_SECONDS = 0.5
@@ -119,6 +123,7 @@
             Health(RAMP_SECONDS),
             ColdPacer(own.name),
             ServiceTimes(),
+            Forwards(),
         )
         self._build_store_tasks()
         self._build_links()
@@ -166,13 +171,14 @@
     def _build_dispatcher(self) -> None:
         cfg, env = self.cfg, self._env
         self._pool = ConnectionPool(cfg.upstreams, env.clock, env.network)
-        carrier = ReplicaCarrier(env.clock, self._pool, env.replicas, self)
+        carrier = ReplicaCarrier(env.clock, self._pool, env.replicas, self, env.log)
         self._forwarder = RouteForwarder(
             cfg.peers,
             self.membership.own,
             env.clock,
             env.network,
             lambda: self.fleet.version,
+            env.log,
             self._wake.set,
         )
         self._probes = ColdProbes(
@@ -183,9 +189,7 @@
             env.network,
             env.log,
         )
-        self.placement = RoutePlacement(
-            env.clock, env.rng, self._beliefs, self._forwarder.spares
-        )
+        self.placement = RoutePlacement(env.clock, env.rng, self._beliefs, self.spares)
         self.dispatcher = RouteCalls(
             env.clock,
             env.log,
@@ -235,6 +239,10 @@
         """Return whether callers should be sent here."""
         return self.fleet.table is not None and not self.activity.draining
 
+    def spares(self, host: HostInfo) -> int:
+        """Return how many connections to a host are open and not in use."""
+        return self._forwarder.spares(host)
+
     def hosts_for_callers(self, region: str, homes: frozenset[str]) -> list[HostInfo]:
         """Return the hosts that callers of a region should use."""
         now = self.clock.monotonic()
@@ -297,6 +305,8 @@
         await self._caller_server.close_idle()
         await self.clock.sleep(started + LISTEN_SECONDS - self.clock.monotonic())
         await self._caller_server.close()
+        left = started + FORWARDED_SECONDS - self.clock.monotonic()
+        await self._within(left, self.activity.wait_idle, is_expected=True)
         self.activity.peers_refused = True
         grace = self.cfg.host.grace.total_seconds() - GRACE_MARGIN_SECONDS
         left = started + grace - self.clock.monotonic()
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -16,7 +16,9 @@
     not_run,
     unknown,
 )
+from sassafraskeel.core.events import Event
 from sassafraskeel.core.http_client import ClientConnection
+from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import Call, Head, Headers
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.upstreams.pool import ConnectionPool
@@ -113,7 +115,9 @@
         pool: ConnectionPool,
         interface: ReplicaInterface,
         observer: Observer,
+        log: LogSink,
     ):
+        self._log = log
         self._clock = clock
         self._pool = pool
         self._interface = interface
@@ -144,7 +148,7 @@
         whole = ReplicaAnswer(answer.head, conn, self._pool, self._clock, call.expires)
         if answer.executed:
             return whole
-        await self._discard(whole)
+        await self._discard(replica, call, whole)
         reason = Reason.NO_UPSTREAM if answer.misdirected else Reason.UPSTREAM_REFUSED
         raise not_run(reason, replica.name)
 
@@ -179,11 +183,17 @@
         except SassafraskeelError as exc:
             raise unknown(Reason.UPSTREAM_FAILED, f"{replica.name}: {exc}") from exc
 
-    async def _discard(self, answer: ReplicaAnswer) -> None:
+    async def _discard(self, replica, call, answer: ReplicaAnswer) -> None:
         """Read the short body of a rejection, so that its connection can be kept."""
         try:
             while await answer.read():
                 pass
-        except SassafraskeelError:
-            pass  # The connection is closed instead; the rejection stands.
+        except SassafraskeelError as exc:
+            # The connection is closed instead; the rejection stands.
+            self._log.emit(
+                Event.REJECTION_CUT,
+                call=call.call_id,
+                to=replica.name,
+                detail=str(exc),
+            )
         await answer.close()
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -48,6 +48,26 @@
         self.assertEqual(self.named("north", 14.0), [])
         self.assertEqual(self.named("south", 14.0), ["own"])
 
+    def test_calls_for_stopping_region(self):
+        """Guards against idle replicas of a region whose hosts are all being stopped.
+
+        trouble-2 of atlas-coffre: for four seconds two of three regions got no calls,
+        and the calls of their callers came a second late at the third.
+        """
+        other = host("other", "a")
+        self.heard(11.0, draining=True)
+        self.assertEqual(self.table.reachable("north", 11.0), [self.near])
+        self.assertEqual(self.table.reachable("north", 11.5), [self.near])
+        self.membership.heard(Member(other, 11.5, 1, False))
+        self.assertEqual(self.table.reachable("north", 11.7), [other])
+
+    def test_stopped_region(self):
+        """Guards against calls for hosts that are being stopped and refuse them."""
+        self.heard(11.0, draining=True)
+        self.table.reachable("north", 11.0)
+        self.heard(15.2, draining=True)
+        self.assertEqual(self.table.reachable("north", 15.2), [])
+
     def test_lost_region(self):
         """Guards against callers that are named no host after a region was lost."""
         self.assertEqual(self.named("north", 30.0), ["own"])
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -228,6 +228,14 @@
             self.assertEqual(taken, [0, 0, 0], replica.name)
 
 
+class SpareTest(TestCase):
+    @with_routes
+    async def test_connections_are_ready(self, world):
+        """Guards against a burst of forwarded calls that all wait for connections."""
+        far = world.hosts[2].membership.own
+        self.assertEqual(world.hosts[0].spares(far), 6)
+
+
 class StreamTest(TestCase):
     @with_routes
     async def test_stream(self, world):
