Send nothing to replicas that went silent with calls in hand

Change: a replica with two or more calls of which data is due, and of which nothing has come for 0.6 s, gets one call a second until it is heard of (decisions/pulses.py). Calls in hand are not cut: silence is no proof.

--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -28,6 +28,7 @@
     slot_limit,
 )
 from sassafraskeel.decisions.prompts import PromptCaches, preferred, shared_tokens
+from sassafraskeel.decisions.pulses import Pulses
 
 QUEUE_LENGTH = 512
 # Replicas that are known but may not be used, such as cold ones, may become usable,
@@ -71,6 +72,7 @@
     pacer: ColdPacer
     times: ServiceTimes
     forwards: Forwards
+    pulses: Pulses
 
 
 class RoutePlacement:
@@ -297,6 +299,8 @@
         beliefs = self._beliefs
         if not beliefs.health.usable(replica.name, now):
             return False
+        if beliefs.pulses.is_silent(replica.name, now):
+            return False
         if beliefs.health.is_failing(replica.name):
             # One call at a time finds out whether it is back.
             return beliefs.loads.own(replica.name).running == 0
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -31,6 +31,7 @@
 from sassafraskeel.decisions.membership import Membership
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompts import PromptCaches
+from sassafraskeel.decisions.pulses import Pulses
 from sassafraskeel.decisions.topology import linked_hosts
 from sassafraskeel.gateways.codec import Leaving, LoadNews
 from sassafraskeel.gateways.leaving import tell_peers
@@ -124,6 +125,7 @@
             ColdPacer(own.name),
             ServiceTimes(),
             Forwards(),
+            Pulses(),
         )
         self._build_store_tasks()
         self._build_links()
@@ -256,6 +258,18 @@
         if head.cold_seconds:
             self.fleet.chill(replica.name, now)
 
+    def data_due(self, replica: Replica) -> None:
+        """Note that data of a call is due; implements Observer."""
+        self._beliefs.pulses.expect(replica.name, self.clock.monotonic())
+
+    def data_came(self, replica: Replica) -> None:
+        """Note that data of a call came; implements Observer."""
+        self._beliefs.pulses.heard(replica.name, self.clock.monotonic())
+
+    def call_over(self, replica: Replica) -> None:
+        """Note that no more data of a call is due; implements Observer."""
+        self._beliefs.pulses.done(replica.name)
+
     async def start(self) -> None:
         """Open the listeners and start all tasks; starting twice is harmless."""
         if self._started:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -19,7 +19,7 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.http_client import ClientConnection
 from sassafraskeel.core.log import LogSink
-from sassafraskeel.core.types import Call, Head, Headers
+from sassafraskeel.core.types import Call, CallKind, Head, Headers
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.upstreams.pool import ConnectionPool
 
@@ -69,12 +69,32 @@
     def replica_said(self, replica: Replica, head: ReplicaHead) -> None:
         """Take the load and state that came with an answer."""
 
+    def data_due(self, replica: Replica) -> None:
+        """Note that data of a call is due from a replica from now on."""
+
+    def data_came(self, replica: Replica) -> None:
+        """Note that data of a call came."""
+
+    def call_over(self, replica: Replica) -> None:
+        """Note that no more data of a call is due."""
+
 
 class ReplicaAnswer:
     """The answer of a replica as it arrives."""
 
-    def __init__(self, head: Head, conn: ClientConnection, pool, clock, expires):
+    def __init__(
+        self,
+        head: Head,
+        conn: ClientConnection,
+        pool,
+        clock,
+        expires,
+        replica: Replica,
+        observer: Observer,
+    ):
         self.head = head
+        self._replica = replica
+        self._observer = observer
         self._conn = conn
         self._pool: ConnectionPool = pool
         self._clock: Clock = clock
@@ -92,6 +112,7 @@
         bound = left if self.stall is None else min(left, self.stall)
         async with self._clock.timeout(bound):
             data = await self._conn.receive_data()
+        self._observer.data_came(self._replica)
         self._whole = not data
         return data
 
@@ -100,6 +121,7 @@
         if self._closed:
             return
         self._closed = True
+        self._observer.call_over(self._replica)
         if self._whole:
             await self._pool.release(self._conn)
         else:
@@ -134,18 +156,34 @@
         where the replica states it, otherwise "unknown".
         """
         conn = await self._connection(replica, call)
+        # The head of a stream comes after the prompts that wait before it.
+        head_due = call.kind is not CallKind.MODEL
+        if head_due:
+            self._observer.data_due(replica)
         try:
             check()
             head = await self._exchange(replica, conn, call, body, patience)
             answer = self._interface.read_head(call, head)
-        except ProtocolError as exc:
+        except BaseException as exc:
+            if head_due:
+                self._observer.call_over(replica)
             await conn.close()
+            if not isinstance(exc, ProtocolError):
+                raise
             raise unknown(Reason.UPSTREAM_FAILED, f"{replica.name}: {exc}") from exc
-        except BaseException:
-            await conn.close()
-            raise
+        if not head_due:
+            self._observer.data_due(replica)
+        self._observer.data_came(replica)
         self._observer.replica_said(replica, answer)
-        whole = ReplicaAnswer(answer.head, conn, self._pool, self._clock, call.expires)
+        whole = ReplicaAnswer(
+            answer.head,
+            conn,
+            self._pool,
+            self._clock,
+            call.expires,
+            replica,
+            self._observer,
+        )
         if answer.executed:
             return whole
         await self._discard(replica, call, whole)
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -228,6 +228,26 @@
             self.assertEqual(taken, [0, 0, 0], replica.name)
 
 
+class SilentReplicaTest(TestCase):
+    @with_routes
+    async def test_orders_go_elsewhere(self, world):
+        """Guards against calls for a replica that went dark and keeps its connections.
+
+        scale-1 of atlas-coffre: 39 calls that may run once waited for replicas of a
+        region without power until their deadline.
+        """
+        await world.store.write("servers/r-1", None)
+        await world.clock.sleep(1)
+        dark = world.replicas[0]
+        dark.hang = 1000
+        for number in range(2):
+            await world.open_call("/order/1", call_id=f"h-{number}")
+        await world.clock.sleep(0.7)
+        head, _ = await world.call("/order/1", "POST", call_id="o-1")
+        self.assertEqual(head.status, 200)
+        self.assertEqual(world.replicas[2].ledger["o-1"], 1)
+
+
 class SpareTest(TestCase):
     @with_routes
     async def test_connections_are_ready(self, world):
