Open connections to other regions as soon as a host is heard

Change: a host that is heard for the first time wakes the task that opens spare connections; four are kept, and as many more as were taken in the last second. A region without an open connection is predicted to answer 0.5 s later.

--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -17,6 +17,7 @@
 from sassafraskeel.decisions.loads import Loads
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.placing import (
+    DIAL_SECONDS,
     REGION_SECONDS,
     ZONE_SECONDS,
     Option,
@@ -252,6 +253,8 @@
             option = min(options, key=lambda option: option.seconds)
             unseen = beliefs.forwards.unseen(region, call.service, now)
             seconds = option.seconds + unseen / len(options) + REGION_SECONDS
+            if not any(self._spares(host) for host in hosts):
+                seconds += DIAL_SECONDS
             if best is None or seconds < best.seconds:
                 best = _Region(region, hosts, seconds, option.busy)
         return best
--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -122,6 +122,10 @@
         """Return how many hosts are alive, the own one included."""
         return 1 + self._current(now).alive
 
+    def changed(self) -> None:
+        """Look at the links again before the next answer."""
+        self._view = None
+
     def _current(self, now: float) -> _View:
         if self._view is None or not 0 <= now - self._view.made_at < VIEW_SECONDS:
             self._view = self._make_view(now)
--- a/sassafraskeel/decisions/placing.py
+++ b/sassafraskeel/decisions/placing.py
@@ -19,6 +19,8 @@
 ZONE_SECONDS = 0.01
 # A call to another region crosses the link twice, at 80 ms each way.
 REGION_SECONDS = 0.17
+# Without an open connection, three more round trips pass before the call is sent.
+DIAL_SECONDS = 0.5
 # Another region is used only where it wins by this: its bytes are priced and its
 # load is known with a delay.
 REGION_MARGIN_SECONDS = 0.1
--- a/sassafraskeel/gateways/loads.py
+++ b/sassafraskeel/gateways/loads.py
@@ -1,6 +1,6 @@
 """Exchanging the requests in flight with the other hosts, as their heartbeat."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import ProtocolError
@@ -14,7 +14,10 @@
 
 
 class LoadExchange:
-    """Sends own loads with each heartbeat and takes those of the answer."""
+    """Sends own loads with each heartbeat and takes those of the answer.
+
+    `wake` is called when a host, or a new run of it, is heard for the first time.
+    """
 
     def __init__(
         self,
@@ -23,7 +26,9 @@
         clock: Clock,
         version: Callable[[], int],
         draining: Callable[[], bool],
+        wake: Callable[[], Awaitable[None]],
     ):
+        self._wake = wake
         self._membership = membership
         self._loads = loads
         self._clock = clock
@@ -42,17 +47,21 @@
             raise ProtocolError("a heartbeat was not answered by one")
         if answer.identity != identity_of(link.peer):
             raise ProtocolError("the peer is not the one that said hello")
-        self._take(link.peer, answer)
+        await self._take(link.peer, answer)
 
     async def answer(self, peer: HostInfo, news: LoadNews) -> LoadNews:
         """Answer the heartbeat of another host."""
-        self._take(peer, news)
+        await self._take(peer, news)
         return self.message()
 
-    def _take(self, peer: HostInfo, news: LoadNews) -> None:
+    async def _take(self, peer: HostInfo, news: LoadNews) -> None:
         now = self._clock.monotonic()
         self._loads.take_news(peer.name, loads_of(news), now)
+        known = self._membership.member(peer.name)
         self._membership.heard(Member(peer, now, news.version, news.draining))
+        if known is None or known.info != peer:
+            # Connections for forwarded calls are opened at once.
+            await self._wake()
 
 
 def loads_of(news: LoadNews) -> dict[str, Load]:
--- a/sassafraskeel/gateways/route_forwarding.py
+++ b/sassafraskeel/gateways/route_forwarding.py
@@ -1,6 +1,6 @@
 """Forwarding a call of a route: header and body in one flight, on spare connections."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 
 from sassafraskeel.core.clock import Clock
@@ -37,11 +37,13 @@
 # Dialling another region takes three round trips of 160 ms, an answer to an offer one.
 CONNECT_TIMEOUT_SECONDS = 1.0
 ACCEPT_TIMEOUT_SECONDS = 0.8
-# Opening another one takes four round trips, 0.7 s between regions, and a burst after
-# a start or a shift of callers forwards tens of calls in that time.
-SPARE_CONNECTIONS = 6
-# Bounds the memory of a host that is linked to many regions.
-MAX_SPARE_CONNECTIONS = 64
+# Opening a connection to another region takes 0.5 to 0.7 s. So many are kept open, and
+# as many again as were taken in the last second.
+SPARE_CONNECTIONS = 4
+MAX_SPARE_CONNECTIONS = 24
+RECENT_SECONDS = 1.0
+# For all hosts together; bounds the memory of a host that is linked to many regions.
+MAX_SPARES_IN_ALL = 96
 
 
 class RouteForwarder(Forwarder):
@@ -66,7 +68,8 @@
         self._log = log
         self._wake = wake
         self._dialling: Counter[HostInfo] = Counter()
-        self._spares_wanted = SPARE_CONNECTIONS
+        self._taken: dict[HostInfo, deque[float]] = {}
+        self._share = SPARE_CONNECTIONS
 
     def spares(self, host: HostInfo) -> int:
         """Return how many open connections to a host are not in use."""
@@ -76,16 +79,24 @@
     async def keep_spares(self, hosts: list[HostInfo], group: Group) -> None:
         """Open the spare connections that are missing, and drop other hosts."""
         for host in [host for host in self._pools if host not in hosts]:
+            self._taken.pop(host, None)
             await self._pools.pop(host).close()
-        share = MAX_SPARE_CONNECTIONS // max(len(hosts), 1)
-        self._spares_wanted = min(max(share, 1), SPARE_CONNECTIONS)
+        self._share = max(MAX_SPARES_IN_ALL // max(len(hosts), 1), 1)
         for host in hosts:
             pool = self._pools.setdefault(host, CallConnections(self._clock))
             ready = pool.fresh() + self._dialling[host]
-            for _ in range(ready, self._spares_wanted):
+            for _ in range(ready, self._wanted(host)):
                 self._dialling[host] += 1
                 await group.spawn(self._open_spare, host, pool)
 
+    def _wanted(self, host: HostInfo) -> int:
+        taken = self._taken.setdefault(host, deque())
+        now = self._clock.monotonic()
+        while taken and now - taken[0] >= RECENT_SECONDS:
+            taken.popleft()
+        wanted = SPARE_CONNECTIONS + len(taken)
+        return min(wanted, MAX_SPARE_CONNECTIONS, self._share)
+
     async def _open_spare(self, host: HostInfo, pool: CallConnections) -> None:
         try:
             async with self._clock.timeout(CONNECT_TIMEOUT_SECONDS):
@@ -126,7 +137,8 @@
     async def _take(self, host: HostInfo, call: Call) -> CallConnection:
         pool = self._pools.setdefault(host, CallConnections(self._clock))
         conn = pool.take()
-        if pool.fresh() < self._spares_wanted:
+        self._taken.setdefault(host, deque()).append(self._clock.monotonic())
+        if pool.fresh() + self._dialling[host] < self._wanted(host):
             await self._wake()
         if conn is not None:
             return conn
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -155,6 +155,7 @@
             env.clock,
             lambda: self.fleet.version,
             lambda: self.activity.draining,
+            self._on_new_peer,
         )
         self._links = Links(
             cfg,
@@ -358,6 +359,10 @@
         self._beliefs.health.retain(names)
         await self._wake.set()
 
+    async def _on_new_peer(self) -> None:
+        self.hosts.changed()
+        await self._wake.set()
+
     async def _keep_links(self) -> None:
         while True:
             own, cfg = self.membership.own, self.cfg.peers
