Know the prompts that other hosts sent, and send priorities

Cause: each host knew only its own sends, so that it took a replica for idle or without a prompt's shared parts that the other host had just sent there, and credited the preferred replica with parts that it had never read. And short prompts waited behind long ones: a draft of 9,000 tokens takes an engine 0.2 s.

Change: heartbeats tell, once to each host, which replicas were sent which shared parts of 1,000 tokens or more; predictions use what is known, and the preferred replica gets a head start of half the time to read the parts that nobody keeps. The route's priority goes along to engines.

Tried and left: replicas that copy the shared parts from the replica that keeps them.

--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -8,7 +8,7 @@
 from sassafraskeel.calls.slots import SlotQueues, Wanted
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run
-from sassafraskeel.core.types import Call, HostInfo, Prompt
+from sassafraskeel.core.types import Call, HostInfo
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
 from sassafraskeel.decisions.forwards import Forwards
@@ -23,12 +23,13 @@
     Option,
     busy_seconds,
     choose_option,
+    favour_seconds,
     is_worth_leaving,
     predicted_seconds,
     prefers_region,
     slot_limit,
 )
-from sassafraskeel.decisions.prompts import PromptCaches, preferred, shared_tokens
+from sassafraskeel.decisions.prompts import PromptCaches, preferred
 from sassafraskeel.decisions.pulses import Pulses
 
 QUEUE_LENGTH = 512
@@ -187,8 +188,7 @@
         tokens = 0
         if prompt is not None:
             tokens = max(prompt.tokens_in - option.held_tokens, 0)
-            spec = beliefs.fleet.service(replica.service)
-            memory = spec.engine.memory_tokens if spec and spec.engine else 0
+            memory = beliefs.fleet.memory_tokens(replica.name)
             beliefs.prompts.read(replica.name, prompt, memory)
         beliefs.loads.started(replica.name, tokens)
         spec = beliefs.fleet.service(replica.service)
@@ -281,23 +281,19 @@
             favourite = preferred(prompt, [replica.name for replica in replicas])
         options = []
         for replica in usable:
-            held = self._held(prompt, replica.name, favourite)
+            held = beliefs.prompts.held(replica.name, prompt) if prompt else 0
             load = beliefs.loads.total(replica.name, now)
             seconds = predicted_seconds(replica, load, spec, prompt, held, work)
             if replica.zone != beliefs.hosts.own.domain:
                 seconds += ZONE_SECONDS
+            if replica.name == favourite:
+                seconds -= favour_seconds(prompt, held)
             if replica.name in tried.failed:
                 seconds += SOFT_FAILURE_SECONDS
             busy = busy_seconds(replica, spec, prompt, held, work)
             options.append(Option(replica, seconds, held, busy))
         return options
 
-    def _held(self, prompt: Prompt | None, name: str, favourite: str) -> int:
-        if prompt is None:
-            return 0
-        held = self._beliefs.prompts.held(name, prompt)
-        return max(held, shared_tokens(prompt)) if name == favourite else held
-
     def _usable(self, replica: Replica, now: float) -> bool:
         beliefs = self._beliefs
         if not beliefs.health.usable(replica.name, now):
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -69,6 +69,12 @@
         """Return what the manifest says of a service."""
         return self.table.manifest.services.get(name) if self.table else None
 
+    def memory_tokens(self, name: str) -> int:
+        """Return the prompt tokens that a replica can keep, 0 if it keeps none."""
+        replica = self._replicas.get(name)
+        spec = self.service(replica.service) if replica else None
+        return spec.engine.memory_tokens if spec and spec.engine else 0
+
     def accept(self, manifest: Manifest) -> bool:
         """Put a manifest in force; return False if it is not newer."""
         if manifest.version <= self.version:
--- a/sassafraskeel/decisions/placing.py
+++ b/sassafraskeel/decisions/placing.py
@@ -5,6 +5,7 @@
 from sassafraskeel.core.types import Prompt
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.decisions.loads import Load
+from sassafraskeel.decisions.prompts import shared_tokens
 from sassafraskeel.decisions.routes import ServiceSpec
 
 # Prompt tokens that an engine reads in a second. The deployments' pages state 42 to 51
@@ -26,6 +27,8 @@
 REGION_MARGIN_SECONDS = 0.1
 # One more running request makes each step of an engine 0.03 ms longer.
 CROWDING_SECONDS = 0.0004
+# Share of the time to read the shared parts that the preferred replica may be slower.
+FAVOUR_SHARE = 0.5
 # Predictions that differ by less are taken as equal.
 TIE_SECONDS = 0.002
 
@@ -76,6 +79,15 @@
     return work / max(replica.slots, 1)
 
 
+def favour_seconds(prompt: Prompt, held: int) -> float:
+    """Return the head start of the replica that all hosts prefer for a prompt.
+
+    Where no replica keeps the shared parts yet, it brings the next prompts together.
+    """
+    unread = max(shared_tokens(prompt) - held, 0)
+    return FAVOUR_SHARE * unread / PREFILL_TOKENS_PER_SECOND
+
+
 def choose_option(options: list[Option], rng) -> Option | None:
     """Return one of the options that are about as good as the best."""
     if not options:
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -185,13 +185,15 @@
     """Heartbeat with the sender's requests in flight; answered by the same.
 
     `rows` hold a replica's name, its requests and the prompt tokens it has to read.
-    `version` is that of the manifest in force, `identity` as in Pong.
+    `version` is that of the manifest in force, `identity` as in Pong. `reads` hold a
+    replica's name, and name and tokens of each shared part of a prompt it was sent.
     """
 
     version: int
     draining: bool
     identity: int
     rows: list
+    reads: list
 
 
 class RouteOffer(NamedTuple):
--- a/sassafraskeel/gateways/links.py
+++ b/sassafraskeel/gateways/links.py
@@ -27,8 +27,8 @@
 class Heartbeat(Protocol):
     """What the dialling host asks again and again on a control link."""
 
-    def message(self) -> NamedTuple:
-        """Return the next heartbeat."""
+    def message(self, peer: HostInfo) -> NamedTuple:
+        """Return the next heartbeat for a host."""
 
     async def answered(self, link: ControlLink, answer: NamedTuple) -> None:
         """Take the answer; raise ProtocolError if it is not one."""
@@ -44,7 +44,7 @@
         self._view = view
         self.listeners = []
 
-    def message(self) -> Ping:
+    def message(self, peer: HostInfo) -> Ping:
         return Ping(self._sheet_version(), self._view())
 
     async def answered(self, link: ControlLink, answer: NamedTuple) -> None:
@@ -217,5 +217,5 @@
     async def _ping(self, link: ControlLink) -> None:
         interval = self._cfg.ping_interval.total_seconds()
         link.pinged_at = self._clock.monotonic()
-        answer = await link.request(self._heartbeat.message(), 3 * interval)
+        answer = await link.request(self._heartbeat.message(link.peer), 3 * interval)
         await self._heartbeat.answered(link, answer)
--- a/sassafraskeel/gateways/loads.py
+++ b/sassafraskeel/gateways/loads.py
@@ -4,25 +4,31 @@
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import ProtocolError
-from sassafraskeel.core.types import HostInfo
+from sassafraskeel.core.types import HostInfo, PromptPart
 from sassafraskeel.decisions.loads import Load, Loads
 from sassafraskeel.decisions.membership import Member, Membership
+from sassafraskeel.decisions.prompts import MAX_TOLD, PromptCaches, Read
 from sassafraskeel.gateways.codec import LoadNews, identity_of
 from sassafraskeel.gateways.link import ControlLink
 
 MAX_ROWS = 8192
+MAX_TOLD_HOSTS = 1024
 
 
 class LoadExchange:
     """Sends own loads with each heartbeat and takes those of the answer.
 
-    `wake` is called when a host, or a new run of it, is heard for the first time.
+    A heartbeat also tells which large shared parts of prompts this host has sent to
+    which replicas, once to each host. `wake` is called when a host, or a new run of
+    it, is heard for the first time.
     """
 
     def __init__(
         self,
         membership: Membership,
         loads: Loads,
+        prompts: PromptCaches,
+        memory_tokens: Callable[[str], int],
         clock: Clock,
         version: Callable[[], int],
         draining: Callable[[], bool],
@@ -31,15 +37,36 @@
         self._wake = wake
         self._membership = membership
         self._loads = loads
+        self._prompts = prompts
+        self._memory_tokens = memory_tokens
+        self._told: dict[str, int] = {}
         self._clock = clock
         self._version = version
         self._draining = draining
 
-    def message(self) -> LoadNews:
-        """Return the heartbeat of this host."""
+    def message(self, peer: HostInfo) -> LoadNews:
+        """Return the next heartbeat for a host."""
         rows = [[name, *load] for name, load in self._loads.news().items()]
         own = self._membership.own
-        return LoadNews(self._version(), self._draining(), identity_of(own), rows)
+        return LoadNews(
+            self._version(),
+            self._draining(),
+            identity_of(own),
+            rows,
+            self._reads_for(peer),
+        )
+
+    def _reads_for(self, peer: HostInfo) -> list:
+        reads = self._prompts.reads_after(self._told.get(peer.name, 0))
+        if not reads:
+            return []
+        if peer.name not in self._told and len(self._told) >= MAX_TOLD_HOSTS:
+            self._told.clear()
+        self._told[peer.name] = reads[-1].number
+        return [
+            [read.replica, *(field for part in read.parts for field in part)]
+            for read in reads
+        ]
 
     async def answered(self, link: ControlLink, answer) -> None:
         """Take the answer to a heartbeat; raise ProtocolError if it is not one."""
@@ -52,11 +79,13 @@
     async def answer(self, peer: HostInfo, news: LoadNews) -> LoadNews:
         """Answer the heartbeat of another host."""
         await self._take(peer, news)
-        return self.message()
+        return self.message(peer)
 
     async def _take(self, peer: HostInfo, news: LoadNews) -> None:
         now = self._clock.monotonic()
         self._loads.take_news(peer.name, loads_of(news), now)
+        for read in reads_of(news):
+            self._prompts.told(read, self._memory_tokens(read.replica))
         known = self._membership.member(peer.name)
         self._membership.heard(Member(peer, now, news.version, news.draining))
         if known is None or known.info != peer:
@@ -77,3 +106,19 @@
             raise ProtocolError("a row of loads is malformed")
         loads[row[0]] = Load(row[1], row[2])
     return loads
+
+
+def reads_of(news: LoadNews) -> list[Read]:
+    """Return the prompts of a heartbeat; raise ProtocolError if they are malformed."""
+    reads = []
+    for row in news.reads[:MAX_TOLD]:
+        if not isinstance(row, list) or len(row) % 2 == 0:
+            raise ProtocolError("a row of prompts is malformed")
+        replica, names, tokens = row[0], row[1::2], row[2::2]
+        if not all(isinstance(name, str) for name in (replica, *names)) or not all(
+            isinstance(number, int) for number in tokens
+        ):
+            raise ProtocolError("a row of prompts is malformed")
+        parts = tuple(map(PromptPart, names, tokens))
+        reads.append(Read(0, replica, parts))
+    return reads
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -2,7 +2,7 @@
 
 from sassafraskeel.core.errors import ProtocolError
 from sassafraskeel.core.http import find_header
-from sassafraskeel.core.types import Call, Head, Headers
+from sassafraskeel.core.types import Call, CallKind, Head, Headers
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.platform import wire
 from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
@@ -19,6 +19,8 @@
             (wire.DEADLINE, str(max(int(left * 1000), 1)).encode()),
             (wire.EXPECTED_REPLICA, replica.name.encode()),
         ]
+        if call.kind is CallKind.MODEL:
+            headers.append((wire.PRIORITY, str(min(call.priority, 9)).encode()))
         if call.resume_after:
             headers.append((wire.LAST_EVENT_ID, call.resume_after.encode()))
         return tuple(headers)
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -10,6 +10,8 @@
 MODEL = b"x-sassafraskeel-model"
 # A replica's signature of an answer.
 SIGNATURE = b"x-sassafraskeel-response-stamp"
+# From 0, the most urgent, to 9.
+PRIORITY = b"x-sassafraskeel-request-priority"
 EXPECTED_REPLICA = b"x-sassafraskeel-expect-instance"
 # The id of the replica that answers a health check.
 REPLICA_ID = b"x-sassafraskeel-instance-id"
@@ -26,7 +28,7 @@
         DEADLINE,
         EXPECTED_REPLICA,
         b"x-sassafraskeel-expect-version",
-        b"x-sassafraskeel-request-priority",
+        PRIORITY,
         b"x-sassafraskeel-pin-ms",
         b"x-sassafraskeel-hold",
         b"x-sassafraskeel-kv-backup",
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -116,11 +116,12 @@
         self.metrics = Metrics(env.clock)
         self._recorder = CallRecorder(env.clock, env.log, self.metrics)
         self.loads = Loads()
+        self.prompts = PromptCaches()
         self._beliefs = Beliefs(
             self.fleet,
             self.hosts,
             self.loads,
-            PromptCaches(),
+            self.prompts,
             Health(RAMP_SECONDS),
             ColdPacer(own.name),
             ServiceTimes(),
@@ -152,6 +153,8 @@
         exchange = LoadExchange(
             self.membership,
             self.loads,
+            self.prompts,
+            self.fleet.memory_tokens,
             env.clock,
             lambda: self.fleet.version,
             lambda: self.activity.draining,
@@ -355,7 +358,7 @@
     async def _on_change(self) -> None:
         names = self.fleet.names()
         self.loads.retain(names)
-        self._beliefs.prompts.retain(names)
+        self.prompts.retain(names)
         self._beliefs.health.retain(names)
         await self._wake.set()
 
@@ -387,7 +390,7 @@
         member = self.membership.member(peer.name)
         if member and member.info.incarnation == message.host.incarnation:
             self.membership.heard(member._replace(draining=True))
-        return exchange.message()
+        return exchange.message(peer)
 
     def _metrics_text(self) -> bytes:
         self.metrics.set(
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,57 @@
+"""Predicted times, and the choice between replicas and regions."""
+
+from unittest import TestCase
+
+from sassafraskeel.core.net import Address
+from sassafraskeel.core.types import Prompt, PromptPart
+from sassafraskeel.decisions.fleet import Replica
+from sassafraskeel.decisions.loads import Load
+from sassafraskeel.decisions.placing import (
+    busy_seconds,
+    favour_seconds,
+    predicted_seconds,
+    prefers_region,
+)
+from sassafraskeel.decisions.routes import EngineSpec, ServiceSpec
+
+REPLICA = Replica("r-1", 1, "chat", "a", Address("10.0.0.1", 80), 64, False)
+ENGINE = ServiceSpec("chat", "/healthz", 100, 0.0, 0.0, EngineSpec(64, 200_000))
+PLAIN = ServiceSpec("desk", "/healthz", 100, 0.0, 0.0, None)
+PROMPT = Prompt("m", 9000, 50, (PromptPart("lot", 6000), PromptPart("own", 3000)))
+
+
+class PlacingTest(TestCase):
+    def predicted(self, load, held=0, prompt=PROMPT):
+        return predicted_seconds(REPLICA, load, ENGINE, prompt, held, 0.05)
+
+    def test_prompt_before(self):
+        """Guards against an engine that is chosen although it reads long prompts."""
+        busy = self.predicted(Load(1, 30_000))
+        self.assertGreater(busy, self.predicted(Load(1, 0)) + 0.9)
+
+    def test_running_requests_count_little(self):
+        """Guards against leaving an engine that keeps the prompt for an idler one."""
+        keeps = self.predicted(Load(40, 0), held=6000)
+        self.assertLess(keeps, self.predicted(Load(0, 0)))
+
+    def test_favour(self):
+        """Guards against prompts of one subject that are spread over all engines."""
+        self.assertGreater(favour_seconds(PROMPT, 0), 0.05)
+        self.assertEqual(favour_seconds(PROMPT, 6000), 0.0)
+
+    def test_full_slots(self):
+        """Guards against a plain service that is predicted to answer at once."""
+        idle = predicted_seconds(REPLICA, Load(0, 0), PLAIN, None, 0, 0.05)
+        full = predicted_seconds(REPLICA, Load(64, 0), PLAIN, None, 0, 0.05)
+        self.assertGreater(full, idle + 0.04)
+
+    def test_busy(self):
+        """Guards against forwarded calls that are thought to cost nothing."""
+        self.assertAlmostEqual(busy_seconds(REPLICA, ENGINE, PROMPT, 6000, 0.05), 0.1)
+        self.assertLess(busy_seconds(REPLICA, PLAIN, None, 0, 0.05), 0.001)
+
+    def test_region(self):
+        """Guards against regions that change places for a small difference."""
+        self.assertTrue(prefers_region(None, 3.0))
+        self.assertTrue(prefers_region(0.8, 0.5))
+        self.assertFalse(prefers_region(0.55, 0.5))
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -5,6 +5,7 @@
 
 from sassafraskeel.core.errors import SassafraskeelError
 from sassafraskeel.core.http import find_header
+from sassafraskeel.core.types import Prompt, PromptPart
 from sassafraskeel.emulators.faults import AnswerFault
 from tests.support.routes import manifest, with_routes
 
@@ -228,6 +229,41 @@
             self.assertEqual(taken, [0, 0, 0], replica.name)
 
 
+class PromptTest(TestCase):
+    @with_routes(document=manifest(engine={"slots": 8, "kvCapacityTokens": 100_000}))
+    async def test_other_hosts_know(self, world):
+        """Guards against prompts that two hosts have read by two replicas."""
+        parts = b"5c1e07a2:1200,91bd3f06:900,e4402b7d:250"
+        headers = (
+            (b"x-sassafraskeel-token-count", b"2350,80"),
+            (b"x-sassafraskeel-prompt-prefix", parts),
+        )
+        for number in range(4):
+            await world.call(
+                "/stream/draft/1",
+                "POST",
+                host=number % 2,
+                call_id=f"p-{number}",
+                headers=headers,
+            )
+            await world.clock.sleep(1)
+        arrivals = sorted(replica.arrivals for replica in world.replicas)
+        self.assertEqual(arrivals, [0, 0, 4])
+        prompt = Prompt(
+            "", 2350, 80, (PromptPart("5c1e07a2", 1200), PromptPart("91bd3f06", 900))
+        )
+        name = next(r.name for r in world.replicas if r.arrivals)
+        for host in world.hosts:
+            self.assertEqual(host.prompts.held(name, prompt), 2100)
+
+    @with_routes
+    async def test_priority(self, world):
+        """Guards against long prompts that are read before urgent short ones."""
+        await world.call("/stream/draft/1", "POST")
+        sent = next(r.headers[0] for r in world.replicas if r.headers)
+        self.assertEqual(sent[b"x-sassafraskeel-request-priority"], b"1")
+
+
 class SilentReplicaTest(TestCase):
     @with_routes
     async def test_orders_go_elsewhere(self, world):
