Tell refused callers to come back later, and notice silence sooner

Callers ask once more after a refusal; they were told 0.5 s where queues were full and 2 s where no replica could be used, while the replicas of their home regions were dark or cold for 4 to 8 s.

A replica with many calls in hand counts as silent after 1.2 s divided by their number, at least 0.3 s.

Tried and left: prompts that go to the region that keeps 2,000 tokens more of their shared parts.

--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -42,8 +42,10 @@
 MAX_VIEWS = 256
 # A replica that just answered with a failure may do so again.
 SOFT_FAILURE_SECONDS = 0.05
-RETRY_AFTER_SECONDS = 0.5
-NO_REPLICA_RETRY_SECONDS = 2.0
+# A refused caller asks once more and is late in any case, so that it is told a time at
+# which a queue has drained, or a crashed replica is back and warm.
+RETRY_AFTER_SECONDS = 2.0
+NO_REPLICA_RETRY_SECONDS = 5.0
 
 
 class _View(NamedTuple):
--- a/sassafraskeel/decisions/pulses.py
+++ b/sassafraskeel/decisions/pulses.py
@@ -3,8 +3,10 @@
 from typing import NamedTuple
 
 # The step of an engine that reads a full chunk of prompts takes 55 ms, and an event of
-# a stream holds up to five steps; a plain service answers within 0.2 s.
-SILENT_SECONDS = 0.6
+# a stream holds up to five steps; a plain service answers within 0.2 s. The more calls
+# a replica has, the sooner one of them is due, but not sooner than MIN_SILENT_SECONDS.
+SILENT_SECONDS = 1.2
+MIN_SILENT_SECONDS = 0.3
 # One call alone may hang or take long at a replica that works.
 SILENT_CALLS = 2
 # A silent replica still gets a call this often, so that its return is noticed.
@@ -45,9 +47,8 @@
     def is_silent(self, name: str, now: float) -> bool:
         """Return whether a replica should get no call for the moment."""
         known = self._pulses.get(name)
-        return (
-            known is not None
-            and known.calls >= SILENT_CALLS
-            and now - known.heard_at > SILENT_SECONDS
-            and now - known.sent_at < RETRY_SECONDS
-        )
+        if known is None or known.calls < SILENT_CALLS:
+            return False
+        bound = max(SILENT_SECONDS / known.calls, MIN_SILENT_SECONDS)
+        is_due = now - known.sent_at >= RETRY_SECONDS
+        return now - known.heard_at > bound and not is_due
--- a/tests/test_pulses.py
+++ b/tests/test_pulses.py
@@ -16,6 +16,12 @@
         self.assertFalse(self.pulses.is_silent("r-1", 10.5))
         self.assertTrue(self.pulses.is_silent("r-1", 10.7))
 
+    def test_many_calls(self):
+        """Guards against a slow reaction where many calls fall silent together."""
+        for _ in range(4):
+            self.pulses.expect("r-1", 10.0)
+        self.assertTrue(self.pulses.is_silent("r-1", 10.35))
+
     def test_heard(self):
         """Guards against a working replica that is taken for a silent one."""
         self.pulses.heard("r-1", 10.4)
