--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,32 @@
+"""How much work replicas have, from own sends and the news of other hosts."""
+
+from unittest import TestCase
+
+from sassafraskeel.decisions.loads import NEWS_SECONDS, Load, Loads
+
+
+class LoadsTest(TestCase):
+    def setUp(self):
+        self.loads = Loads()
+
+    def test_total(self):
+        """Guards against work of other hosts that is not counted, or for ever."""
+        self.loads.started("r-1", 500)
+        self.loads.take_news("h-2", {"r-1": Load(3, 900)}, 10.0)
+        self.assertEqual(self.loads.total("r-1", 10.1), Load(4, 1400))
+        later = 10.0 + NEWS_SECONDS
+        self.assertEqual(self.loads.total("r-1", later), Load(1, 500))
+
+    def test_report(self):
+        """Guards against a replica that is thought idle while it says it is busy."""
+        self.loads.reported("r-1", 7, 10.0)
+        self.assertEqual(self.loads.total("r-1", 10.1).running, 7)
+        self.loads.started("r-1", 0)
+        self.assertEqual(self.loads.total("r-1", 10.1).running, 8)
+
+    def test_forgotten(self):
+        """Guards against replicas without requests that are kept for ever."""
+        self.loads.started("r-1", 500)
+        self.loads.prefilled("r-1", 500)
+        self.loads.finished("r-1")
+        self.assertEqual(self.loads.news(), {})
