Test two faults that had no test: idle connections and the time after dialling

Both tests were seen to fail with the fault put back (a request after the idle time that is read and thrown away; an offer timed before its connection is dialled), and pass on the code as it is.

--- /dev/null
+++ b/tests/test_route_forwarding.py
@@ -0,0 +1,82 @@
+"""Forwarding calls of routes to other hosts."""
+
+from unittest import TestCase
+
+from sassafraskeel.core.errors import Refusal
+from sassafraskeel.core.log import NullLog
+from sassafraskeel.core.net import Address
+from sassafraskeel.core.route_settings import PeerSection
+from sassafraskeel.core.types import Call, CallKind, HostInfo, Terms
+from sassafraskeel.gateways.codec import Refuse, RouteOffer
+from sassafraskeel.gateways.forwarding import CallConnection
+from sassafraskeel.gateways.route_forwarding import RouteForwarder
+from tests.support.clock import run_virtual
+
+ADDRESS = Address("10.0.0.1", 80)
+OWN = HostInfo("own", "a", "1", ADDRESS, ADDRESS)
+FAR = HostInfo("far", "b", "1", ADDRESS, ADDRESS)
+TERMS = Terms("orders", 1, False, False, 0.5, 0.5, 1)
+DIAL_SECONDS = 0.7
+
+
+class RefusingChannel:
+    """A channel whose other end refuses each offer."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def send(self, *messages):
+        self.sent += messages
+
+    async def receive(self):
+        return Refuse("not_run", "overloaded", "", 1.0)
+
+    async def close(self):
+        pass
+
+
+async def no_wake():
+    """Wake nothing."""
+
+
+class RouteForwarderTest(TestCase):
+    def test_time_left_after_dialling(self):
+        """Guards against a call that outlives its deadline on the other host.
+
+        Offers carried the time that was left before their connection was dialled
+        (docs/incidents.md, late calls to another region).
+        """
+
+        async def main(clock):
+            forwarder = RouteForwarder(
+                PeerSection(), OWN, clock, None, lambda: 1, NullLog(), no_wake
+            )
+            channel = RefusingChannel()
+
+            async def connect(host):
+                await clock.sleep(DIAL_SECONDS)
+                now = clock.monotonic()
+                return CallConnection(channel, now, now)
+
+            forwarder._connect = connect
+            now = clock.monotonic()
+            call = Call(
+                "c-1",
+                "",
+                "desk",
+                CallKind.ORDER,
+                "POST",
+                "/order/1",
+                (),
+                expires=now + 2.0,
+                start_by=now + 1.0,
+                hops=("own",),
+                terms=TERMS,
+            )
+            with self.assertRaises(Refusal):
+                await forwarder.send(FAR, call, b"")
+            offer = next(item for item in channel.sent if isinstance(item, RouteOffer))
+            self.assertAlmostEqual(offer.timeout, 2.0 - DIAL_SECONDS, places=2)
+            self.assertAlmostEqual(offer.start_within, 1.0 - DIAL_SECONDS, places=2)
+
+        run_virtual(main)
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -3,7 +3,7 @@
 import json
 from unittest import TestCase
 
-from sassafraskeel.core.errors import SassafraskeelError
+from sassafraskeel.core.errors import ConnectionLost, SassafraskeelError
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.types import Prompt, PromptPart
 from sassafraskeel.emulators.faults import AnswerFault
@@ -210,6 +210,26 @@
         self.assertEqual(world.runs("late"), 0)
 
 
+class ConnectionTest(TestCase):
+    @with_routes
+    async def test_idle_connection(self, world):
+        """Guards against a request that is read and thrown away after the idle time.
+
+        quiet-1 of atlas-coffre: an order that was sent within a second after the idle
+        time of its connection ended without an answer.
+        """
+        conn = await world.open_call("/read/stock", "GET")
+        await conn.receive_head()
+        while await conn.receive_data():
+            pass
+        self.assertTrue(conn.reuse())
+        await world.clock.sleep(15.5)
+        fields = ((b"host", b"app.example"),)
+        with self.assertRaises(ConnectionLost):
+            await conn.send("POST", "/order/1", fields, b"")
+        self.assertEqual(world.runs("c-2"), 0)
+
+
 class SlotTest(TestCase):
     @with_routes
     async def test_spent_budget_gives_slot_back(self, world):
