Test truncated answers, unlinked dead hosts and long streams in a drain

Mutations that had not been run: answers cut within their body were passed on as whole, the wait for calls in a drain was left out, and a dead host without a link stayed in the directory; the three were not noticed. Each has a test now that fails with the mutation and passes without. Caught by tests that stood: no listening in a drain, reads of other hosts ignored, a slot kept when the budget is spent, a budget that always allows (its test does not end).

--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -48,6 +48,13 @@
         self.assertEqual(self.named("north", 14.0), [])
         self.assertEqual(self.named("south", 14.0), ["own"])
 
+    def test_never_linked(self):
+        """Guards against a dead host that is named for want of a link and a store."""
+        self.table.register(host("other", "a"))
+        self.assertEqual(self.named("north", 10.5), ["near", "other"])
+        self.heard(15.0)
+        self.assertEqual(self.named("north", 15.0), ["near"])
+
     def test_calls_for_stopping_region(self):
         """Guards against idle replicas of a region whose hosts are all being stopped.
 
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -246,6 +246,19 @@
         self.assertEqual(events(body), [1, 2, 3, 4, 5])
         await task.join()
 
+    @with_routes
+    async def test_drain_waits(self, world):
+        """Guards against a stream that is cut when the host stops listening."""
+        for replica in world.replicas:
+            replica.delay = 0.8
+        conn = await world.open_call("/stream/draft/1")
+        await world.clock.sleep(0.1)
+        task = await curio.spawn(world.hosts[0].drain)
+        body, ended = await drain_stream(conn)
+        self.assertTrue(ended)
+        self.assertEqual(events(body), [1, 2, 3, 4, 5])
+        await task.join()
+
     @with_routes
     async def test_kept_connection_ends_with_drain(self, world):
         """Guards against calls that are taken long after the stop was asked for.
--- a/tests/test_route_host.py
+++ b/tests/test_route_host.py
@@ -119,6 +119,20 @@
         else:
             self.assertFalse(find_header(head.headers, SIGNATURE))
 
+    @with_routes
+    async def test_truncated_order(self, world):
+        """Guards against a truncated answer that is passed on as a whole one."""
+        _, whole = await world.call("/order/1", "POST", call_id="c-0")
+        statuses = set()
+        for cut in range(20, 400, 19):
+            for replica in world.replicas:
+                replica.faults.answers[:] = [AnswerFault(cut_after=cut)]
+            head, body = await world.call("/order/1", "POST", call_id=f"c-{cut}")
+            statuses.add(head.status)
+            self.assertTrue(head.status != 200 or body == whole, cut)
+            await world.clock.sleep(1)
+        self.assertEqual(statuses, {200, 502})
+
     @with_routes
     async def test_timeout_of_route(self, world):
         """Guards against calls that are held past the time of their route."""
