Add a fault soak of the real programs

The real hosts run as processes with the emulators of store and replicas, the links to both behind loopback proxies that delay, reset, silence, cut one way and refuse; hosts are killed, stopped, paused and started again, and zones and replicas are taken out of work. Callers go on with their connections. Seeds with odd numbers have changes by the operator, even ones faults of the store, because the bounds hold only for hosts in touch.

Not built: clocks that step, faults between hosts, a replica that loses its ledger.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 COUNT ?= 20
 
-.PHONY: setup demo bench fuzz test lint format clean
+.PHONY: setup demo bench fuzz soak test lint format clean
 
 setup: $(READY)
 
@@ -25,6 +25,9 @@
 fuzz: $(READY)
 	$(BIN)/python -m tests.fuzz --first $(SEED) --count $(COUNT)
 
+soak: $(READY)
+	$(BIN)/python -m soak --first $(SEED) --count $(COUNT)
+
 lint: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -91,7 +91,9 @@
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
         if request.path == LEDGER_PATH:
-            return json_reply({"runs": self.ledger, "arrivals": self.arrivals})
+            log = [(run.request_id, run.at) for run in self.runs]
+            content = {"runs": self.ledger, "arrivals": self.arrivals, "log": log}
+            return json_reply(content)
         if request.path == "/healthz":
             self.probes += 1
             headers = [(b"x-sassafraskeel-instance-id", self.name.encode())]
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,51 @@
+"""Runs seeds of the soak: `python -m soak --first N --count N`."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import curio
+from pydantic import BaseModel
+
+from soak.run import Size, SoakRun
+
+ZONES = {"north-a": (2, 2), "south-a": (2, 1)}
+LARGE_ZONES = {f"z{number}-a": (4, 4) for number in range(6)}
+
+
+class Soak(BaseModel):
+    """Play seeds one after another; the exit status is 1 if a promise was broken.
+
+    Logs of a failed seed are kept in `target/soak/SEED`.
+    """
+
+    first: Annotated[int, cappa.Arg(long=True)] = 1
+    count: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
+    callers: Annotated[int, cappa.Arg(long=True)] = 12
+    large: Annotated[bool, cappa.Arg(long=True)] = False
+
+    def __call__(self):
+        zones = LARGE_ZONES if self.large else ZONES
+        size = Size(self.seconds, self.callers, zones)
+        failed = 0
+        for seed in range(self.first, self.first + self.count):
+            failed += self._play(seed, size)
+        print(f"{self.count - failed} of {self.count} seeds kept all promises")
+        sys.exit(1 if failed else 0)
+
+    def _play(self, seed: int, size: Size) -> bool:
+        run = SoakRun(seed, size)
+        problems = curio.run(run.run)
+        word = "FAILED" if problems else "passed"
+        print(f"seed {seed} {word}: {run.outcomes} calls", flush=True)
+        for problem in problems[:20]:
+            print(f"  {problem}", flush=True)
+        if problems:
+            run.save_logs(Path("target/soak") / str(seed))
+        return bool(problems)
+
+
+if __name__ == "__main__":
+    cappa.invoke(Soak)
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,109 @@
+"""Callers that go on with their connections until the other end is gone."""
+
+import random
+import re
+from collections.abc import Callable
+
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import SassafraskeelError
+from sassafraskeel.core.http import find_header
+from sassafraskeel.core.http_client import ClientConnection, connect
+from sassafraskeel.core.net import Address, Network
+from soak.checks import Outcome
+
+SIGNATURE = b"x-sassafraskeel-response-stamp"
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+KINDS = {
+    "read": ("GET", "/read/lot"),
+    "order": ("POST", "/order/weighing"),
+    "chat": ("POST", "/stream/chat/question"),
+    "draft": ("POST", "/stream/draft/summary"),
+}
+TIMEOUT_SECONDS = 4.0
+PAUSE_SECONDS = 0.15
+# A caller gives a call up some seconds after its answer was due.
+PATIENCE_SECONDS = TIMEOUT_SECONDS + 4.0
+
+
+class Caller:
+    """Sends one call after another to a host, on one connection while it lasts."""
+
+    def __init__(
+        self,
+        number: int,
+        seed: int,
+        hosts: dict[str, Address],
+        clock: Clock,
+        network: Network,
+    ):
+        self._name = f"s{seed}-{number}"
+        self._rng = random.Random(f"{seed}/{number}")
+        self._hosts = hosts
+        self._host = ""
+        self._clock = clock
+        self._network = network
+        self._conn: ClientConnection | None = None
+        self.outcomes: list[Outcome] = []
+
+    async def run(self, until: Callable[[], float]) -> None:
+        """Send calls until the time that `until` returns."""
+        number = 0
+        while self._clock.monotonic() < until():
+            number += 1
+            kind = self._rng.choice(list(KINDS))
+            await self._call(f"{self._name}-{number}", kind)
+            await self._clock.sleep(PAUSE_SECONDS * self._rng.random())
+
+    async def _call(self, call_id: str, kind: str) -> None:
+        sent_at = self._clock.monotonic()
+        status, signed, whole, parts = 0, False, False, []
+        try:
+            async with self._clock.timeout(PATIENCE_SECONDS):
+                conn = await self._connection()
+                await conn.send(*KINDS[kind], self._headers(call_id), b"")
+                head = await conn.receive_head()
+                status = head.status
+                signed = bool(find_header(head.headers, SIGNATURE))
+                while data := await conn.receive_data():
+                    parts.append(data)
+                whole = True
+        except SassafraskeelError:
+            whole = False  # What was seen of the answer is checked as it is.
+        ids = tuple(int(text) for text in EVENT_ID.findall(b"".join(parts)))
+        ended_at = self._clock.monotonic()
+        self.outcomes.append(
+            Outcome(
+                call_id,
+                kind,
+                self._host,
+                status,
+                signed,
+                whole,
+                ids,
+                sent_at,
+                ended_at,
+                TIMEOUT_SECONDS,
+            )
+        )
+        if not whole or not self._conn.reuse():
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            await self._conn.close()
+            self._conn = None
+
+    async def _connection(self) -> ClientConnection:
+        if self._conn is None:
+            self._host = self._rng.choice(list(self._hosts))
+            address = self._hosts[self._host]
+            self._conn = await connect(self._network, address, 0.0)
+        return self._conn
+
+    def _headers(self, call_id: str):
+        return (
+            (b"host", b"app.example"),
+            (b"x-sassafraskeel-request-id", call_id.encode()),
+            (b"x-sassafraskeel-deadline-ms", str(int(TIMEOUT_SECONDS * 1000)).encode()),
+        )
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,156 @@
+"""The promises that a run is checked against, from what callers and replicas saw."""
+
+from collections import Counter
+from typing import NamedTuple
+
+# Statuses that promise that a call has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+ONCE_KINDS = frozenset(("order", "draft"))
+ANSWER_SLACK_SECONDS = 1.0
+# After the end of all faults and this time, calls must be served again.
+RECOVERY_SECONDS = 4.0
+MIN_SERVED = 0.9
+MIN_CALLS = 20
+EVACUATE_SECONDS = 5.0
+DRAIN_SECONDS = 4.0
+
+
+class Outcome(NamedTuple):
+    """What a caller saw of one call; `status` is 0 without a head.
+
+    `whole` tells whether the answer ended as HTTP says it must, and `ids` are those
+    of the events of a stream. Times are monotonic seconds.
+    """
+
+    call_id: str
+    kind: str
+    host: str
+    status: int
+    signed: bool
+    whole: bool
+    ids: tuple[int, ...]
+    sent_at: float
+    ended_at: float
+    timeout: float
+
+
+class RunAt(NamedTuple):
+    """A run that a replica began."""
+
+    call_id: str
+    replica: str
+    at: float
+
+
+class Closed(NamedTuple):
+    """A span in which a replica must get no new work, from its last bound on."""
+
+    replica: str
+    since: float
+    until: float
+
+
+class Record(NamedTuple):
+    """All that was seen in one run."""
+
+    outcomes: list[Outcome]
+    runs: list[RunAt]
+    closed: list[Closed]
+    faults_ended_at: float
+    events: int
+    named_dead: list[str]
+
+
+def check_once(record: Record) -> list[str]:
+    """Return the calls that may run once and ran more often."""
+    counts = Counter(run.call_id for run in record.runs)
+    return [
+        f"{outcome.call_id} ({outcome.kind}) ran {counts[outcome.call_id]} times"
+        for outcome in record.outcomes
+        if outcome.kind in ONCE_KINDS and counts[outcome.call_id] > 1
+    ]
+
+
+def check_not_run(record: Record) -> list[str]:
+    """Return the calls that were said not to have run although they had."""
+    ran = {run.call_id for run in record.runs}
+    return [
+        f"{outcome.call_id} ({outcome.kind}) got {outcome.status} and ran"
+        for outcome in record.outcomes
+        if outcome.status in NOT_RUN_STATUSES
+        and outcome.kind in ONCE_KINDS
+        and outcome.call_id in ran
+    ]
+
+
+def check_answers(record: Record) -> list[str]:
+    """Return the answers that look complete and are not, or are not a replica's."""
+    problems = []
+    for outcome in record.outcomes:
+        if outcome.status != 200:
+            continue
+        where = f"{outcome.call_id} ({outcome.kind})"
+        if not outcome.signed:
+            problems.append(f"{where}: a success without a signature")
+        expected = tuple(range(1, len(outcome.ids) + 1))
+        if outcome.ids != expected:
+            problems.append(f"{where}: events {outcome.ids}")
+        is_stream = outcome.kind in ("draft", "chat")
+        if is_stream and outcome.whole and len(outcome.ids) != record.events:
+            problems.append(f"{where}: complete with {len(outcome.ids)} events")
+    return problems
+
+
+def check_ends(record: Record) -> list[str]:
+    """Return the calls that were held past the time of their route."""
+    problems = []
+    for outcome in record.outcomes:
+        seconds = outcome.ended_at - outcome.sent_at
+        if seconds > outcome.timeout + ANSWER_SLACK_SECONDS:
+            problems.append(f"{outcome.call_id} ({outcome.kind}): {seconds:.2f} s")
+    return problems
+
+
+def check_closed(record: Record) -> list[str]:
+    """Return the runs that began at a replica after it had to be left alone."""
+    return [
+        f"{run.call_id} ran at {run.replica} {run.at - span.since:.2f} s late"
+        for run in record.runs
+        for span in record.closed
+        if run.replica == span.replica and span.since < run.at < span.until
+    ]
+
+
+def check_recovery(record: Record) -> list[str]:
+    """Return a line if too few calls were served after the last fault."""
+    since = record.faults_ended_at + RECOVERY_SECONDS
+    late = [outcome for outcome in record.outcomes if outcome.sent_at > since]
+    served = sum(outcome.status == 200 and outcome.whole for outcome in late)
+    if len(late) < MIN_CALLS:
+        return [f"only {len(late)} calls after the last fault"]
+    if served < MIN_SERVED * len(late):
+        return [f"{served} of {len(late)} calls served after the last fault"]
+    return []
+
+
+def check_directory(record: Record) -> list[str]:
+    """Return the dead hosts that the directory still named."""
+    return record.named_dead
+
+
+CHECKS = (
+    check_once,
+    check_not_run,
+    check_answers,
+    check_ends,
+    check_closed,
+    check_recovery,
+    check_directory,
+)
+
+
+def problems_of(record: Record) -> list[str]:
+    """Return what all checks found, with the name of the check."""
+    return [
+        f"{check.__name__}: {problem}" for check in CHECKS for problem in check(record)
+    ]
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,56 @@
+"""The seeded schedule of a run: which fault meets which process, and when."""
+
+import random
+from typing import NamedTuple
+
+START_SECONDS = 2.0
+MAX_FAULT_SECONDS = 5.0
+HOST_KINDS = ("kill", "stop", "pause")
+LINK_KINDS = ("delay", "reset", "silence", "one_way", "refuse")
+
+
+class Step(NamedTuple):
+    """One fault: `target` names a host, a replica, a zone or the store."""
+
+    at: float
+    kind: str
+    target: str
+    for_s: float
+
+
+class Names(NamedTuple):
+    """What a plan may choose from."""
+
+    hosts: list[str]
+    replicas: list[str]
+    zones: list[str]
+
+
+def make_plan(seed: int, seconds: float, names: Names) -> list[Step]:
+    """Return the steps of a seed that start within some seconds, in order of time.
+
+    Bounds on drains and evacuations hold only for hosts that reach the store, so that
+    a run has either faults of the store or changes by the operator.
+    """
+    rng = random.Random(seed)
+    operates = seed % 2 == 1
+    steps, at = [], START_SECONDS
+    while at < seconds:
+        for_s = rng.uniform(0.3, MAX_FAULT_SECONDS)
+        steps.append(_step(rng, at, for_s, names, operates))
+        at += rng.uniform(0.2, 2.5)
+    return steps
+
+
+def _step(rng, at, for_s, names: Names, operates: bool) -> Step:
+    family = rng.choice(("host", "replica", "replica", "other"))
+    if family == "host":
+        return Step(at, rng.choice(HOST_KINDS), rng.choice(names.hosts), for_s)
+    if family == "replica":
+        kind = rng.choice((*LINK_KINDS, "pause"))
+        return Step(at, kind, rng.choice(names.replicas), for_s)
+    if operates:
+        kind = rng.choice(("evacuate", "drain", "manifest"))
+        target = {"evacuate": names.zones, "drain": names.replicas}.get(kind, ["store"])
+        return Step(at, kind, rng.choice(target), for_s)
+    return Step(at, rng.choice((*LINK_KINDS, "pause")), "store", for_s)
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,84 @@
+"""A TCP proxy on loopback that delays, resets and silences its connections."""
+
+from typing import NamedTuple
+
+import curio
+
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import ConnectionLost
+from sassafraskeel.core.net import Address, Network, Stream
+from sassafraskeel.core.tasks import Group
+
+
+class Fault(NamedTuple):
+    """What happens to the bytes of a proxy's connections.
+
+    `forward` and `back` are False where bytes of that direction are lost, which leaves
+    the connection silent.
+    """
+
+    delay: float = 0.0
+    forward: bool = True
+    back: bool = True
+    refuse: bool = False
+
+
+HEALTHY = Fault()
+
+
+class Proxy:
+    """Passes connections on to a target; one task for each, and for each direction."""
+
+    def __init__(self, clock: Clock, network: Network, listen: Address, target):
+        self._clock = clock
+        self._network = network
+        self._listen = listen
+        self._target: Address = target
+        self._tasks: set[curio.Task] = set()
+        self.fault = HEALTHY
+
+    async def start(self, group: Group) -> None:
+        """Listen and start accepting connections."""
+        listener = await self._network.listen(self._listen)
+        await group.spawn(self._accept, listener, group)
+
+    async def reset(self) -> None:
+        """Close all open connections."""
+        for task in list(self._tasks):
+            await task.cancel()
+
+    async def _accept(self, listener, group: Group) -> None:
+        try:
+            while True:
+                near = await listener.accept()
+                await group.spawn(self._carry, near)
+        finally:
+            await listener.close()
+
+    async def _carry(self, near: Stream) -> None:
+        far = None
+        task = await curio.current_task()
+        self._tasks.add(task)
+        try:
+            if not self.fault.refuse:
+                far = await self._network.connect(self._target)
+                async with curio.TaskGroup(wait=any) as directions:
+                    await directions.spawn(self._pass, near, far, "forward")
+                    await directions.spawn(self._pass, far, near, "back")
+        except ConnectionLost:
+            pass  # The near end is closed, as a dead target would do.
+        finally:
+            self._tasks.discard(task)
+            await near.close()
+            if far is not None:
+                await far.close()
+
+    async def _pass(self, source: Stream, sink: Stream, direction: str) -> None:
+        try:
+            while data := await source.read():
+                if self.fault.delay:
+                    await self._clock.sleep(self.fault.delay)
+                if getattr(self.fault, direction):
+                    await sink.write(data)
+        except ConnectionLost:
+            return  # Both ends are closed by the task of the connection.
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,288 @@
+"""One run of a seed: a deployment, callers, faults and checks."""
+
+import json
+import math
+import signal
+from pathlib import Path
+from typing import NamedTuple
+from urllib.parse import quote
+
+import curio
+
+from sassafraskeel.core.clock import SystemClock
+from sassafraskeel.core.errors import SassafraskeelError
+from sassafraskeel.core.http_client import exchange
+from sassafraskeel.core.net import Address, TcpNetwork, parse_address
+from sassafraskeel.core.tasks import Group
+from soak.callers import Caller
+from soak.checks import (
+    DRAIN_SECONDS,
+    EVACUATE_SECONDS,
+    Closed,
+    Record,
+    RunAt,
+    problems_of,
+)
+from soak.plan import Names, Step, make_plan
+from soak.proxy import HEALTHY, Fault, Proxy
+from tools.cluster import free_address
+from tools.route_cluster import RouteCluster, entry
+
+READY_SECONDS = 30.0
+CALL_SECONDS = 2.0
+# A host that was killed is started again after its fault; a dead one may be named by
+# the directory for nine seconds.
+NAMED_SECONDS = 9.0
+# Calls are sent for this long after the last fault, so that recovery is seen.
+CALM_SECONDS = 8.0
+LOOK_SECONDS = 0.5
+STREAM_EVENTS = 5
+LINK_FAULTS = {
+    "delay": Fault(delay=0.4),
+    "silence": Fault(forward=False, back=False),
+    "one_way": Fault(back=False),
+    "refuse": Fault(refuse=True),
+}
+
+
+class Size(NamedTuple):
+    """How large and how long a run is."""
+
+    seconds: float
+    callers: int
+    zones: dict[str, tuple[int, int]]
+
+
+class SoakRun:
+    """Runs one seed; `problems` are what the checks found."""
+
+    def __init__(self, seed: int, size: Size):
+        self._seed, self._size = seed, size
+        self._clock, self._network = SystemClock(), TcpNetwork()
+        self._cluster = RouteCluster(size.zones)
+        self._group = Group()
+        self._proxies: dict[str, Proxy] = {}
+        self._advertised: dict[str, str] = {}
+        self._down: dict[str, float] = {}
+        self._closed: list[Closed] = []
+        # Replicas that the operator has taken out of work.
+        self._held: set[str] = set()
+        self._named_dead: list[str] = []
+        self._version = 1
+        self._ended_at = 0.0
+        # Callers go on until some time after the last fault.
+        self._until_at = math.inf
+        self.outcomes = 0
+
+    async def run(self) -> list[str]:
+        """Return the problems of the run."""
+        try:
+            await self._start()
+            return problems_of(await self._play())
+        finally:
+            await self._group.close()
+            self._cluster.close()
+
+    def save_logs(self, folder: Path) -> None:
+        """Copy what the processes wrote; to be called before the next run."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, text in self.logs.items():
+            (folder / f"{name}.log").write_text(text, encoding="utf-8")
+
+    async def _start(self) -> None:
+        cluster = self._cluster
+        cluster.start_store()
+        for replica in cluster.replicas:
+            cluster.start_replica(replica)
+            await self._add_proxy(replica.name, replica.address)
+            self._advertised[replica.name] = self._address_of(replica.name)
+        await self._add_proxy("store", cluster.store)
+        await self._until("store", lambda: self._write("op/config", self._manifest()))
+        for replica in cluster.replicas:
+            await self._list_replica(replica.name)
+        for host in cluster.hosts:
+            cluster.store_addresses[host.name] = self._address_of("store")
+            cluster.start_host(host)
+        for host in cluster.hosts:
+            await self._until(host.name, lambda host=host: self._is_ready(host))
+
+    async def _play(self) -> Record:
+        started = self._clock.monotonic()
+        names = Names(
+            [host.name for host in self._cluster.hosts],
+            [replica.name for replica in self._cluster.replicas],
+            list(self._size.zones),
+        )
+        hosts = {
+            host.name: parse_address(host.listen["callers"])
+            for host in self._cluster.hosts
+        }
+        callers = [
+            Caller(number, self._seed, hosts, self._clock, self._network)
+            for number in range(self._size.callers)
+        ]
+        tasks = [
+            await curio.spawn(caller.run, lambda: self._until_at) for caller in callers
+        ]
+        looking = await curio.spawn(self._watch_directory, daemon=True)
+        async with Group() as steps:
+            for step in make_plan(self._seed, self._size.seconds, names):
+                await self._clock.sleep(started + step.at - self._clock.monotonic())
+                await steps.spawn(self._apply, step)
+        self._ended_at = self._clock.monotonic()
+        self._until_at = self._ended_at + CALM_SECONDS
+        for task in tasks:
+            await task.join()
+        await looking.cancel()
+        for caller in callers:
+            await caller.close()
+        outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+        self.outcomes = len(outcomes)
+        runs = [run for replica in names.replicas for run in await self._runs(replica)]
+        self.logs = {name: self._cluster.log(name) for name in self._cluster.processes}
+        return Record(
+            outcomes,
+            runs,
+            self._closed,
+            self._ended_at,
+            STREAM_EVENTS,
+            self._named_dead,
+        )
+
+    async def _apply(self, step: Step) -> None:
+        if step.kind in ("kill", "stop"):
+            await self._end_host(step)
+        elif step.kind == "pause":
+            await self._pause(step)
+        elif step.kind in ("evacuate", "drain", "manifest"):
+            await self._operate(step)
+        elif step.kind == "reset":
+            await self._proxies[step.target].reset()
+        else:
+            proxy = self._proxies[step.target]
+            proxy.fault = LINK_FAULTS[step.kind]
+            await self._clock.sleep(step.for_s)
+            proxy.fault = HEALTHY
+            # Connections that lost bytes stay broken, as after a real cut.
+            await proxy.reset()
+
+    async def _end_host(self, step: Step) -> None:
+        process = self._cluster.processes[step.target]
+        if step.target in self._down or process.poll() is not None:
+            return
+        self._down[step.target] = self._clock.monotonic()
+        number = signal.SIGKILL if step.kind == "kill" else signal.SIGTERM
+        process.send_signal(number)
+        while process.poll() is None:
+            await self._clock.sleep(0.05)
+        self._down[step.target] = self._clock.monotonic()
+        await self._clock.sleep(step.for_s)
+        host = next(h for h in self._cluster.hosts if h.name == step.target)
+        del self._down[step.target]
+        self._cluster.start_host(host)
+        await self._until(host.name, lambda: self._is_ready(host))
+
+    async def _pause(self, step: Step) -> None:
+        process = self._cluster.processes[step.target]
+        if process.poll() is not None:
+            return
+        process.send_signal(signal.SIGSTOP)
+        await self._clock.sleep(step.for_s)
+        process.send_signal(signal.SIGCONT)
+
+    async def _operate(self, step: Step) -> None:
+        if step.kind == "manifest":
+            self._version += 1
+            await self._write("op/config", self._manifest())
+            return
+        members = [step.target]
+        bound = DRAIN_SECONDS
+        if step.kind == "evacuate":
+            bound = EVACUATE_SECONDS
+            zone = step.target
+            replicas = self._cluster.replicas
+            members = [replica.name for replica in replicas if replica.zone == zone]
+        if self._held.intersection(members):
+            return  # Its end would be another operation's end.
+        self._held.update(members)
+        if step.kind == "evacuate":
+            await self._write(f"op/evacuate/{step.target}", b"{}")
+        else:
+            await self._list_replica(step.target, "draining")
+        since = self._clock.monotonic() + bound
+        await self._clock.sleep(bound + step.for_s)
+        until = self._clock.monotonic()
+        self._closed += [Closed(name, since, until) for name in members]
+        self._held.difference_update(members)
+        if step.kind == "evacuate":
+            await self._write(f"op/evacuate/{step.target}", None)
+        else:
+            await self._list_replica(step.target)
+
+    async def _watch_directory(self) -> None:
+        while True:
+            await self._clock.sleep(LOOK_SECONDS)
+            for host in self._cluster.hosts:
+                if host.name not in self._down:
+                    await self._look(host)
+
+    async def _look(self, host) -> None:
+        path = f"/api/resolve?name=app.example&region={host.zone}&zone={host.zone}"
+        asked_at = self._clock.monotonic()
+        head, body = await self._fetch(host.listen["directory"], "GET", path)
+        if head is None or head.status != 200:
+            return
+        named = set(json.loads(body)["addresses"])
+        for other in self._cluster.hosts:
+            dead_since = self._down.get(other.name)
+            is_old = dead_since is not None and asked_at - dead_since > NAMED_SECONDS
+            if is_old and other.listen["callers"] in named:
+                self._named_dead.append(f"{host.name} named {other.name}")
+
+    async def _runs(self, replica: str) -> list[RunAt]:
+        address = next(r.address for r in self._cluster.replicas if r.name == replica)
+        _, body = await self._fetch(address, "GET", "/test/ledger")
+        return [RunAt(name, replica, at) for name, at in json.loads(body)["log"]]
+
+    async def _list_replica(self, name: str, state: str = "ready") -> None:
+        replica = next(r for r in self._cluster.replicas if r.name == name)
+        advertised = replica._replace(address=self._advertised[name])
+        await self._write(f"servers/{name}", entry(advertised, state))
+
+    def _manifest(self) -> bytes:
+        return self._cluster.manifest(self._version)
+
+    async def _add_proxy(self, name: str, target: str) -> None:
+        listen = parse_address(free_address(self._cluster.taken))
+        proxy = Proxy(self._clock, self._network, listen, parse_address(target))
+        await proxy.start(self._group)
+        self._proxies[name] = proxy
+        self._advertised[name] = str(listen)
+
+    def _address_of(self, name: str) -> str:
+        return self._advertised[name]
+
+    async def _write(self, key: str, value: bytes | None) -> bool:
+        method = "DELETE" if value is None else "PUT"
+        path = f"/test/key?key={quote(key)}"
+        head, _ = await self._fetch(self._cluster.store, method, path, value or b"")
+        return head is not None and head.status == 200
+
+    async def _is_ready(self, host) -> bool:
+        head, _ = await self._fetch(host.listen["readiness"], "GET", "/api/ready")
+        return head is not None and head.status == 200
+
+    async def _fetch(self, address: str, method: str, path: str, body: bytes = b""):
+        target: Address = parse_address(address)
+        try:
+            async with self._clock.timeout(CALL_SECONDS):
+                return await exchange(self._network, target, method, path, body=body)
+        except SassafraskeelError:
+            return None, b""
+
+    async def _until(self, what: str, condition) -> None:
+        expires = self._clock.monotonic() + READY_SECONDS
+        while not await condition():
+            if self._clock.monotonic() > expires:
+                raise TimeoutError(f"{what}: not within {READY_SECONDS:g} s")
+            await self._clock.sleep(0.1)
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -104,33 +104,28 @@
     def __init__(self, zones: dict[str, tuple[int, int]]):
         self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
         self.folder = Path(self._folder.name)
-        self._taken: set[str] = set()
+        self.taken: set[str] = set()
         self.processes: dict[str, subprocess.Popen] = {}
-        self.store = free_address(self._taken)
+        self.store = free_address(self.taken)
+        # Hosts that reach the store by another address, such as that of a proxy.
+        self.store_addresses: dict[str, str] = {}
         self.hosts: list[HostProcess] = []
         self.replicas: list[ReplicaProcess] = []
         self._zones = zones
         for zone, (hosts, replicas) in zones.items():
             for number in range(hosts):
-                listen = {name: free_address(self._taken) for name in LISTENERS}
+                listen = {name: free_address(self.taken) for name in LISTENERS}
                 self.hosts.append(HostProcess(f"{zone}-{number}", zone, listen))
             for number in range(replicas):
-                address = free_address(self._taken)
+                address = free_address(self.taken)
                 self.replicas.append(
                     ReplicaProcess(f"r-{zone}-{number}", zone, address)
                 )
 
     def __enter__(self):
-        self._start("store", "sassafraskeel.emulators", "store", self.store)
+        self.start_store()
         for replica in self.replicas:
-            self._start(
-                replica.name,
-                "sassafraskeel.emulators",
-                "replica",
-                replica.address,
-                replica.name,
-                replica.zone,
-            )
+            self.start_replica(replica)
         self._wait("the store", lambda: self.write("op/config", self.manifest()))
         for replica in self.replicas:
             self.write(f"servers/{replica.name}", entry(replica))
@@ -141,6 +136,25 @@
         return self
 
     def __exit__(self, *exc_info):
+        self.close()
+
+    def start_store(self) -> None:
+        """Start the process of the store."""
+        self._start("store", "sassafraskeel.emulators", "store", self.store)
+
+    def start_replica(self, replica: ReplicaProcess) -> None:
+        """Start the process of a replica."""
+        self._start(
+            replica.name,
+            "sassafraskeel.emulators",
+            "replica",
+            replica.address,
+            replica.name,
+            replica.zone,
+        )
+
+    def close(self) -> None:
+        """End all processes and remove their files."""
         for process in self.processes.values():
             process.terminate()
         for process in self.processes.values():
@@ -154,7 +168,10 @@
     def start_host(self, host: HostProcess) -> None:
         """Start the process of a host; its log goes to a file in the folder."""
         text = SETTINGS.format(
-            name=host.name, zone=host.zone, store=self.store, **host.listen
+            name=host.name,
+            zone=host.zone,
+            store=self.store_addresses.get(host.name, self.store),
+            **host.listen,
         )
         text += "".join(f"{zone} = {zone}\n" for zone in self._zones)
         path = self.folder / f"{host.name}.ini"
