Keep long prompts away from engines with many running requests

The placement saw only the time to the first byte.

Change: the time to read a prompt counts one hundredth more for each request that runs at the engine.

--- a/sassafraskeel/decisions/placing.py
+++ b/sassafraskeel/decisions/placing.py
@@ -29,6 +29,9 @@
 CROWDING_SECONDS = 0.0004
 # Share of the time to read the shared parts that the preferred replica may be slower.
 FAVOUR_SHARE = 0.5
+# While an engine reads a chunk of a prompt, each of its running requests waits for it:
+# the time to read a prompt counts so much more for each of them.
+INTERFERENCE_SHARE = 0.01
 # Predictions that differ by less are taken as equal.
 TIE_SECONDS = 0.002
 
@@ -65,8 +68,10 @@
     waiting = max(load.running + 1 - replica.slots, 0) / max(replica.slots, 1)
     seconds = load.running * CROWDING_SECONDS
     if spec is not None and spec.engine is not None and prompt is not None:
-        unread = max(prompt.tokens_in - held_tokens, 0) + load.pending_tokens
-        return seconds + unread / PREFILL_TOKENS_PER_SECOND + waiting * work
+        own = max(prompt.tokens_in - held_tokens, 0) / PREFILL_TOKENS_PER_SECOND
+        seconds += own * (1 + INTERFERENCE_SHARE * load.running)
+        before = load.pending_tokens / PREFILL_TOKENS_PER_SECOND
+        return seconds + before + waiting * work
     return seconds + work * load.running / max(replica.slots, 1) + waiting * work
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -34,6 +34,19 @@
         keeps = self.predicted(Load(40, 0), held=6000)
         self.assertLess(keeps, self.predicted(Load(0, 0)))
 
+    def test_prompt_interferes(self):
+        """Guards against long prompts that slow an engine full of running requests.
+
+        scale-2 of pomar-prensa: streams that share an engine with the reading of
+        prompts take up to eight times as long.
+        """
+        idle, full = self.predicted(Load(0, 0)), self.predicted(Load(60, 0))
+        self.assertGreater(full, idle + 0.15)
+        short = PROMPT._replace(tokens_in=600, parts=())
+        idle = self.predicted(Load(0, 0), prompt=short)
+        full = self.predicted(Load(60, 0), prompt=short)
+        self.assertLess(full, idle + 0.05)
+
     def test_favour(self):
         """Guards against prompts of one subject that are spread over all engines."""
         self.assertGreater(favour_seconds(PROMPT, 0), 0.05)
