Give the heartbeat of routes a new message number

Cause: the heartbeat got a fifth field, the prompts that replicas were sent, under its old number 61, although a new field is a new message by the rule of gateways/codec.py: a host of the other version would have taken it for a malformed 61.

Change: 63, and 61 is retired. Hosts of the two versions still do not link with each other until all are updated. PromptCaches.forget had no caller and is gone.

Result: tests.test_codec failed with the old number and passes.

--- a/sassafraskeel/decisions/prompts.py
+++ b/sassafraskeel/decisions/prompts.py
@@ -76,10 +76,6 @@
         for name in [name for name in self._parts if name not in replicas]:
             del self._parts[name]
 
-    def forget(self, replica: str) -> None:
-        """Forget what a replica held before it restarted."""
-        self._parts.pop(replica, None)
-
 
 def shared_tokens(prompt: Prompt) -> int:
     """Return the tokens of the parts that other requests share."""
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -324,8 +324,9 @@
     47: ViewAsk,
     48: ViewTold,
     60: Verdicts,
-    61: LoadNews,
+    # 61 were the loads without the prompts that replicas were sent.
     62: RouteOffer,
+    63: LoadNews,
     80: Leaving,
 }
 NUMBERS = {kind: number for number, kind in MESSAGES.items()}
