Read and log the limits that replicas name

The logs could not tell a host that ignores a limit from one that does not know it: no event told that an answer named a limit, and event 314 did not say what the sender knew.

No call is placed differently yet.

--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -25,6 +25,7 @@
 )
 from sassafraskeel.decisions.prompt_caches import PromptCaches, preferred_replica
 from sassafraskeel.decisions.region_loads import RegionLoads, ServiceLoad
+from sassafraskeel.decisions.request_limits import RequestLimits
 from sassafraskeel.decisions.silence import SilenceDetector
 
 # The cache expires because replicas with lapsed entries leave the fleet as time passes,
@@ -76,6 +77,7 @@
     silence_detector: SilenceDetector
     region_loads: RegionLoads
     may_send_cold: Callable[[str, float], bool]
+    limits: RequestLimits
 
 
 class RouteOptions:
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -75,6 +75,10 @@
         317, Level.WARNING, "calls that crash replicas are refused"
     )
     CRASH_SUSPECT_CLEARED = EventSpec(318, Level.INFO, "crash suspect cleared")
+    LIMIT_CHANGED = EventSpec(319, Level.INFO, "request limit of a replica changed")
+    LIMIT_MALFORMED = EventSpec(
+        320, Level.WARNING, "request limit of a replica is malformed"
+    )
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -12,6 +12,7 @@
 from sassafraskeel.emulators.http_server import HttpServer, Reply, Request, json_reply
 
 RESPONSE_STAMP = (b"x-sassafraskeel-response-stamp", b"1.1")
+LIMIT_HEADER = b"server-limit"
 
 # Path at which tests read the ledger of a replica.
 LEDGER_PATH = "/test/ledger"
@@ -33,8 +34,10 @@
     never answered, and answered with 500. `crash_after` cuts each stream after that
     many events. When it would begin to answer a request to `crash_path`, or a prompt
     with the part `crash_part`, it crashes: all its connections end, a stream after its
-    head, and it is back after `restart_seconds`. `name` is the instance id of the
-    replica; requests that expect another instance are answered with 421.
+    head, and it is back after `restart_seconds`. Unless `limit` is empty, answers and
+    health checks name it as the requests per second that the replica takes. `name` is
+    the instance id of the replica; requests that expect another instance are answered
+    with 421.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         self.restart_seconds = 3.0
         self.crashes: list[float] = []
         self.cold_ms = 0
+        self.limit = ""
         self.arrivals = 0
+        self.arrival_times: list[float] = []
         self.probes = 0
         self.running = 0
         self.runs: list[Run] = []
@@ -107,16 +112,18 @@
             if self.cold_ms:
                 cold = str(self.cold_ms).encode()
                 headers.append((b"x-sassafraskeel-cold-ms", cold))
-            return Reply(200, b"{}", tuple(headers))
+            return Reply(200, b"{}", (*headers, *self._limit_headers()))
         self.arrivals += 1
+        self.arrival_times.append(self._clock.monotonic())
         self.headers.append(dict(request.headers))
         request_id = request.header(b"x-sassafraskeel-request-id")
         echo = (b"x-sassafraskeel-request-id", request_id.encode())
         if request.header(b"x-sassafraskeel-expect-instance") != self.name:
-            return json_reply({}, 421, (echo,))
+            return json_reply({}, 421, (echo, *self._limit_headers()))
         if self.refuse:
             self.refuse -= 1
-            return json_reply({}, 503, (echo, (b"x-sassafraskeel-not-executed", b"1")))
+            rejection = (echo, (b"x-sassafraskeel-not-executed", b"1"))
+            return json_reply({}, 503, (*rejection, *self._limit_headers()))
         return await self._execute(request, request_id, echo)
 
     async def _execute(self, request, request_id, echo) -> Reply:
@@ -135,7 +142,8 @@
         if crashes and not request.path.startswith("/stream/"):
             await self._crash()
         load = f"{self.running},0,{self.slots}".encode()
-        headers = (echo, RESPONSE_STAMP, (b"x-sassafraskeel-server-load", load))
+        load_header = (b"x-sassafraskeel-server-load", load)
+        headers = (echo, RESPONSE_STAMP, load_header, *self._limit_headers())
         if self.fail:
             self.fail -= 1
             return json_reply({"error": "failed"}, 500, headers)
@@ -145,6 +153,11 @@
         stream = self._stream(int(last_event_id or 0), crashes)
         return Reply(200, stream, (*headers, content_type))
 
+    def _limit_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        if not self.limit:
+            return ()
+        return ((LIMIT_HEADER, self.limit.encode()),)
+
     def _crashes_on(self, request: Request) -> bool:
         if request.path == self.crash_path:
             return True
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -1,13 +1,17 @@
 """Encodes calls to replicas in the platform's format and decodes the answers."""
 
+import re
+
 from sassafraskeel.core.errors import ProtocolError
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.types import Call, CallKind, Headers, ResponseHead
 from sassafraskeel.decisions.fleet import Replica
+from sassafraskeel.decisions.request_limits import NamedLimit
 from sassafraskeel.platform import wire
 from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
 
 MISDIRECTED_STATUS = 421
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 
 class PlatformReplicaInterface:
@@ -45,6 +49,7 @@
             misdirected=misdirected,
             requests=_parse_request_count(find_header(head.headers, wire.REPLICA_LOAD)),
             cold_seconds=_parse_cold_seconds(head),
+            limit=_parse_limit(head),
         )
 
     def read_health(self, head: ResponseHead) -> ReplicaHealth:
@@ -52,6 +57,7 @@
             name=find_header(head.headers, wire.REPLICA_ID),
             healthy=head.status == 200,
             cold_seconds=_parse_cold_seconds(head),
+            limit=_parse_limit(head),
         )
 
 
@@ -61,6 +67,20 @@
     return int(text) / 1000 if text.isdecimal() else 0.0
 
 
+def _parse_limit(head: ResponseHead) -> NamedLimit | None:
+    """Return what an answer says of its replica's limit, None if it is malformed.
+
+    Repeated headers are malformed unless they agree.
+    """
+    values = {value for name, value in head.headers if name == wire.REQUEST_LIMIT}
+    if not values:
+        return NamedLimit(None)
+    text = values.pop().decode("latin-1").strip()
+    if values or not DECIMAL_NUMBER.fullmatch(text):
+        return None
+    return NamedLimit(float(text))
+
+
 def _parse_request_count(text: str) -> int | None:
     """Return the number of running and queued requests, None if malformed."""
     words = [word.strip() for word in text.split(",")]
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -19,6 +19,8 @@
 # The running requests, the queued requests and the slots, separated by commas.
 REPLICA_LOAD = b"x-sassafraskeel-server-load"
 COLD_MS = b"x-sassafraskeel-cold-ms"
+# The requests per second that a replica takes from all hosts together.
+REQUEST_LIMIT = b"server-limit"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
 
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -33,6 +33,7 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
+from sassafraskeel.decisions.request_limits import NamedLimit, RequestLimits
 from sassafraskeel.decisions.shared_retry_budget import SharedRetryBudget
 from sassafraskeel.decisions.silence import SilenceDetector
 from sassafraskeel.gateways.drain_notice import notify_peers
@@ -146,6 +147,7 @@
             SilenceDetector(),
             RegionLoads(),
             self.coordination.may_send_cold,
+            RequestLimits(),
         )
         self._build_store_tasks()
         self._build_forwarder()
@@ -342,14 +344,29 @@
             region, home_regions, self.request_tracker.draining, now
         )
 
-    def on_head_received(self, replica: Replica, head: ReplicaHead) -> None:
+    def on_head_received(
+        self, replica: Replica, head: ReplicaHead, sent_at: float
+    ) -> None:
         """Record the load and state in an answer; implements ReplicaObserver."""
         now = self.clock.monotonic()
+        self._record_limit(replica, head.limit, sent_at, now)
         if head.requests is not None:
             self.loads.reported(replica.name, head.requests, now)
         if head.cold_seconds:
             self.fleet.mark_cold(replica.name, now)
 
+    def _record_limit(
+        self, replica: Replica, limit: NamedLimit | None, sent_at: float, now: float
+    ) -> None:
+        limits = self._routing_state.limits
+        if limit is None:
+            # A limit that is already known still holds.
+            self.log.emit(Event.LIMIT_MALFORMED, replica=replica.name)
+        elif limits.answered(replica, limit, sent_at, now):
+            self.log.emit(
+                Event.LIMIT_CHANGED, replica=replica.name, rate=limit.rate, source=""
+            )
+
     def on_data_expected(self, replica: Replica) -> None:
         """Record that data of a call is expected; implements ReplicaObserver."""
         self._routing_state.silence_detector.expect_data(
@@ -476,6 +493,7 @@
         self.loads.retain(names)
         self.prompt_caches.retain(names)
         self._routing_state.health.retain(names)
+        self._routing_state.limits.retain(names)
         await self._route_links.notify_change()
 
     async def _on_new_peer(self) -> None:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -23,6 +23,7 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import Call, CallKind, Headers, ResponseHead
 from sassafraskeel.decisions.fleet import Replica
+from sassafraskeel.decisions.request_limits import NamedLimit
 from sassafraskeel.upstreams.pool import ConnectionPool
 
 # A call that must not run twice uses a pooled connection only if it was idle for less
@@ -39,7 +40,7 @@
     `executed` is False if the replica states that it did not run the call, and
     `misdirected` is True if the address now belongs to another replica. `requests`
     counts the requests that the replica runs and queues. `cold_seconds` are the
-    seconds for which the replica stays cold.
+    seconds for which the replica stays cold. `limit` is None if it is malformed.
     """
 
     head: ResponseHead
@@ -47,6 +48,7 @@
     misdirected: bool
     requests: int | None
     cold_seconds: float
+    limit: NamedLimit | None
 
 
 class ReplicaHealth(NamedTuple):
@@ -55,6 +57,7 @@
     name: str
     healthy: bool
     cold_seconds: float
+    limit: NamedLimit | None
 
 
 class ReplicaInterface(Protocol):
@@ -75,8 +78,13 @@
 class ReplicaObserver(Protocol):
     """Receives the state that replicas report and the progress of their answers."""
 
-    def on_head_received(self, replica: Replica, head: ReplicaHead) -> None:
-        """Record the load and state in the head of an answer."""
+    def on_head_received(
+        self, replica: Replica, head: ReplicaHead, sent_at: float
+    ) -> None:
+        """Record the load and state in the head of an answer.
+
+        `sent_at` is when its request was sent, in monotonic seconds.
+        """
 
     def on_data_expected(self, replica: Replica) -> None:
         """Record that a replica is expected to send data of a call from now on."""
@@ -198,6 +206,7 @@
             self._observer.on_data_expected(replica)
         try:
             check()
+            sent_at = self._clock.monotonic()
             head = await self._exchange(replica, conn, call, body, head_timeout)
             replica_head = self._interface.read_head(call, head)
         except BaseException as exc:
@@ -212,7 +221,7 @@
         if not is_head_expected:
             self._observer.on_data_expected(replica)
         self._observer.on_data_received(replica)
-        self._observer.on_head_received(replica, replica_head)
+        self._observer.on_head_received(replica, replica_head, sent_at)
         replica_answer = ReplicaAnswer(
             replica_head.head,
             conn,
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -32,6 +32,7 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
+from sassafraskeel.decisions.request_limits import RequestLimits
 from sassafraskeel.decisions.routes import (
     CallerLimits,
     EngineSpec,
@@ -180,6 +181,7 @@
             SilenceDetector(),
             RegionLoads(),
             lambda name, now: True,
+            RequestLimits(),
         )
 
     async def exchange_loads(self):
