--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -1,5 +1,6 @@
 """The limits on requests that replicas name in their answers."""
 
+from collections import Counter
 from unittest import TestCase
 
 from sassafraskeel.core.events import Event
@@ -11,6 +12,17 @@
 from tests.support.routes import with_routes
 
 NO_LIMIT = NamedLimit(None)
+FLEET = {
+    "zones": ("north-a",) * 4 + ("south-a",),
+    "replica_zones": ("north-a", "north-a", "south-a"),
+}
+# A replica that names a limit of n requests a second gets at most 1.5 n of them a
+# second in four seconds, and five more.
+WINDOW_SECONDS = 4.0
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
+# Hosts hear a limit with an answer, and tell each other within half a second.
+LEARN_SECONDS = 1.0
 
 
 def replica(name="r-0", started_at_ms=1) -> Replica:
@@ -77,6 +89,48 @@
         self.assertIsNone(self.read(b"2", b"3"))
 
 
+def busiest_window(times: list[float], start: float) -> int:
+    """Return the most requests that arrived in four seconds after a start."""
+    times = [time for time in times if time >= start]
+    return max(
+        (sum(time <= other < time + WINDOW_SECONDS for other in times))
+        for time in [start, *times]
+    )
+
+
+def allowed(rate: float) -> float:
+    """Return how many requests may arrive in four seconds."""
+    return EXCESS_FACTOR * rate * WINDOW_SECONDS + EXCESS_REQUESTS
+
+
+async def send_reads(world, seconds: float, hosts=range(4), per_second=25):
+    """Send reads to some hosts in turn; return the number of each status."""
+    statuses = Counter()
+    for number in range(int(seconds * per_second)):
+        started = world.clock.monotonic()
+        host = hosts[number % len(hosts)]
+        head, _ = await world.call("/read/1", host=host, call_id=f"n-{number}")
+        statuses[head.status] += 1
+        rest = started + 1 / per_second - world.clock.monotonic()
+        await world.clock.sleep(max(rest, 0))
+    return statuses
+
+
+class RateTest(TestCase):
+    @with_routes(world_options=FLEET)
+    async def test_replica_gets_more_than_its_limit(self, world):
+        """Guards against hosts that together exceed the limit that a replica named."""
+        limited = world.replicas[0]
+        limited.limit = "2"
+        start = world.clock.monotonic() + LEARN_SECONDS
+        statuses = await send_reads(world, 12)
+        self.assertEqual(statuses, {200: 300})
+        count = busiest_window(limited.arrival_times, start)
+        self.assertLessEqual(count, allowed(2))
+        # The limit is used, since the other replicas have less to do then.
+        self.assertGreaterEqual(count, 2 * WINDOW_SECONDS - 1)
+
+
 class LimitLog:
     """Records the events about limits."""
 
