Obey the limits that replicas name, over all hosts of a region

A limited replica now gets a request only while an allowance has one left.

A limit holds for all hosts together, so that no host uses it by itself: - The coordinator uses it, as for cold replicas; of the hosts that reach none, one uses half of it. may_send_cold became rate_share. - Hosts that are registered but not live may be on the other side of a cut, with a coordinator of their own: a side uses its share of the hosts. - Heartbeats within a region tell what replicas said, the newest statement first, so that a new coordinator knows limits that only others heard. They get new message numbers.

--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -83,7 +83,7 @@
         RecentForwards(),
         SilenceDetector(),
         RegionLoads(),
-        lambda name, now: True,
+        lambda name, now: 1.0,
         RequestLimits(),
     )
 
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -63,7 +63,8 @@
 class RoutingState(NamedTuple):
     """State of replicas and hosts on which placement is based, partly estimated.
 
-    `may_send_cold` returns whether the local host may place calls at a cold replica.
+    `rate_share` returns the share of a replica's rate that the local host may use while
+    the replica is cold or names a limit, 0 for none.
     """
 
     fleet: Fleet
@@ -76,7 +77,7 @@
     forwards: RecentForwards
     silence_detector: SilenceDetector
     region_loads: RegionLoads
-    may_send_cold: Callable[[str, float], bool]
+    rate_share: Callable[[str, float], float]
     limits: RequestLimits
 
 
@@ -248,9 +249,11 @@
             # Only one call at a time tests whether a failing replica has recovered.
             return not state.health.is_tested(replica.name, now)
         if state.fleet.is_cold(replica, now):
-            return state.pacer.may_send(replica.name, now) and state.may_send_cold(
-                replica.name, now
+            return state.pacer.may_send(replica.name, now) and bool(
+                state.rate_share(replica.name, now)
             )
+        if state.limits.rate(replica) is not None:
+            return bool(state.rate_share(replica.name, now))
         return True
 
     def _may_use(self, replica: Replica, now: float) -> bool:
@@ -260,9 +263,17 @@
         ) and not state.silence_detector.is_silent(replica.name, now)
 
     def _has_free_slot(self, replica: Replica, now: float) -> bool:
-        spec = self._routing_state.fleet.service(replica.service)
-        running = self._routing_state.loads.total(replica.name, now).running
-        return running < slot_limit(replica, spec)
+        state = self._routing_state
+        spec = state.fleet.service(replica.service)
+        running = state.loads.total(replica.name, now).running
+        return running < slot_limit(replica, spec) and self._limit_allows(replica, now)
+
+    def _limit_allows(self, replica: Replica, now: float) -> bool:
+        state = self._routing_state
+        if state.limits.rate(replica) is None:
+            return True
+        share = state.rate_share(replica.name, now)
+        return share > 0 and state.limits.may_send(replica, share, now)
 
     def _local_region(self) -> str:
         hosts = self._routing_state.hosts
--- a/sassafraskeel/decisions/coordination.py
+++ b/sassafraskeel/decisions/coordination.py
@@ -10,6 +10,9 @@
 STANDBYS = 1
 # After a change the hosts of a region learn within this time which of them are live.
 SETTLE_SECONDS = 1.0
+# Share of a rate that a host uses which reaches no coordinator. The coordinator may
+# still use the whole rate, and replicas and the platform bear half as much again.
+UNCOORDINATED_SHARE = 0.5
 
 
 def rank_coordinators(region: str, hosts: list[HostInfo]) -> list[HostInfo]:
@@ -55,16 +58,20 @@
             self._coordinating_since = now
         return True
 
-    def may_send_cold(self, replica: str, now: float) -> bool:
-        """Return whether the local host may place calls at a cold replica.
+    def rate_share(self, replica: str, now: float) -> float:
+        """Return the share of a replica's rate that the local host may use, 0 for none.
 
-        The platform's bound on the rate of a cold replica holds for all hosts together
-        and has room for twice the rate. The coordinator places these calls once an
-        earlier one has noticed that it was replaced. Of the hosts that reach no
-        coordinator, one does, by rendezvous hash.
+        The rate of a replica that is cold or names a limit holds for all hosts
+        together. The coordinator places these calls once an earlier one has noticed
+        that it was replaced. Of the hosts that reach no coordinator, one does, by
+        rendezvous hash. Hosts that are registered but not live may be on the other
+        side of a partition, with a coordinator of their own.
         """
+        share = self._hosts.live_share(now)
         if self.is_coordinator(now):
-            return now - self._coordinating_since >= SETTLE_SECONDS
+            is_settled = now - self._coordinating_since >= SETTLE_SECONDS
+            return share if is_settled else 0.0
         local_name = self._hosts.local_host.name
         names = sorted(self._hosts.region_peers(now) | {local_name})
-        return rendezvous(replica.encode(), names)[0] == local_name
+        is_chosen = rendezvous(replica.encode(), names)[0] == local_name
+        return UNCOORDINATED_SHARE * share if is_chosen else 0.0
--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -52,7 +52,7 @@
     `live` holds the live hosts by region, and `reachable` those that may get forwarded
     calls. `ranked` caches the ranking of the hosts of a region. `region_peers` are the
     names of the live hosts of the local region, and `alive` counts the live hosts of
-    all regions.
+    all regions. `live_share` is the share of live hosts in those of the local region.
     """
 
     made_at: float
@@ -62,6 +62,7 @@
     ranked: dict[str, list[HostInfo]]
     region_peers: set[str]
     alive: int
+    live_share: float
 
 
 class HostTable:
@@ -291,6 +292,10 @@
         """Return the names of the other live hosts of the local region."""
         return self._current_view(now).region_peers
 
+    def live_share(self, now: float) -> float:
+        """Return the share of live hosts in the registered ones of the local region."""
+        return self._current_view(now).live_share
+
     def count(self, now: float) -> int:
         """Return the number of live hosts, including the local one."""
         return 1 + self._current_view(now).alive
@@ -324,14 +329,21 @@
             elif self._is_stopping(host, now):
                 stopping.setdefault(region, []).append(host)
         local_region = self.region_of(self.local_host)
+        region_peers = {host.name for host in live.get(local_region, ())}
+        registered = {
+            name
+            for name, host in self._registered.items()
+            if self.region_of(host) == local_region
+        }
         return _View(
             made_at=now,
             changes=self.membership.changes,
             live=live,
             reachable=dict(sorted((stopping | reachable).items())),
             ranked={},
-            region_peers={host.name for host in live.get(local_region, ())},
+            region_peers=region_peers,
             alive=sum(map(len, live.values())),
+            live_share=(1 + len(region_peers)) / (1 + len(region_peers | registered)),
         )
 
     def _is_reachable(self, host: HostInfo, now: float) -> bool:
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -110,11 +110,12 @@
     69: LinkClosing,
     70: FeedRequest,
     71: FeedChanges,
-    72: RouteHeartbeat,
-    73: RouteHeartbeatReply,
+    # 72 and 73 were heartbeats without the limits that replicas named.
     74: ReplicaReservation,
     75: ReservationReply,
     76: PlacementRequest,
+    77: RouteHeartbeat,
+    78: RouteHeartbeatReply,
     # 80 was DrainNotice without the capacity of the host.
     81: DrainNotice,
 }
--- /dev/null
+++ b/sassafraskeel/gateways/limit_relay.py
@@ -0,0 +1,71 @@
+"""Tells the other hosts of a region which limits replicas named, in heartbeats."""
+
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import ProtocolError
+from sassafraskeel.core.events import Event
+from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.types import HostInfo
+from sassafraskeel.decisions.request_limits import RequestLimits, Statement
+from sassafraskeel.gateways.codec import decode_field
+from sassafraskeel.gateways.messages import NO_LIMIT
+
+# Heartbeats are sent every 0.4 s, so that 16 rows of 45 bytes take about 2 KB a second.
+# If there are more rows, successive heartbeats to a host take turns with them.
+MAX_ROWS = 16
+MAX_PEERS = 1024
+ROW_TYPES = (str, int, float, float)
+
+
+class LimitRelay:
+    """Encodes the statements of replicas for a peer, and records those of peers.
+
+    Every host hears limits in the answers to its own calls only, while a limit holds
+    for all hosts together. A host that starts to coordinate its region, or that reaches
+    no coordinator, therefore has to know the limits that others heard.
+    """
+
+    def __init__(self, limits: RequestLimits, clock: Clock, log: LogSink):
+        self._limits = limits
+        self._clock = clock
+        self._log = log
+        self._next_rows: dict[str, int] = {}
+
+    def rows(self, peer: HostInfo) -> list:
+        """Return the rows for the next heartbeat to a host."""
+        now = self._clock.monotonic()
+        statements = self._limits.statements(now)
+        if len(statements) > MAX_ROWS:
+            if peer.name not in self._next_rows and len(self._next_rows) >= MAX_PEERS:
+                self._next_rows.clear()
+            start = self._next_rows.get(peer.name, 0) % len(statements)
+            self._next_rows[peer.name] = start + MAX_ROWS
+            statements = (statements[start:] + statements[:start])[:MAX_ROWS]
+        return [
+            _encode_statement(name, statement, now) for name, statement in statements
+        ]
+
+    def record(self, peer: HostInfo, rows: list) -> None:
+        """Record the rows of a heartbeat; raise ProtocolError if one is malformed."""
+        now = self._clock.monotonic()
+        for row in rows[:MAX_ROWS]:
+            name, statement = _decode_statement(row, now)
+            if self._limits.relayed(name, statement, now):
+                self._log.emit(
+                    Event.LIMIT_CHANGED,
+                    replica=name,
+                    rate=statement.rate,
+                    source=peer.name,
+                )
+
+
+def _encode_statement(name: str, statement: Statement, now: float) -> list:
+    rate = NO_LIMIT if statement.rate is None else statement.rate
+    return [name, statement.started_at_ms, rate, max(now - statement.said_at, 0.0)]
+
+
+def _decode_statement(row, now: float) -> tuple[str, Statement]:
+    if not isinstance(row, list) or len(row) != len(ROW_TYPES):
+        raise ProtocolError("a row with a limit is malformed")
+    name, started_at_ms, rate, age = map(decode_field, row, ROW_TYPES)
+    named_rate = None if rate < 0 else rate
+    return name, Statement(started_at_ms, named_rate, now - max(age, 0.0))
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -38,6 +38,7 @@
 from sassafraskeel.decisions.silence import SilenceDetector
 from sassafraskeel.gateways.drain_notice import notify_peers
 from sassafraskeel.gateways.heartbeats import HeartbeatState, RouteHeartbeats
+from sassafraskeel.gateways.limit_relay import LimitRelay
 from sassafraskeel.gateways.link_manager import LinkManager
 from sassafraskeel.gateways.messages import (
     CallProgress,
@@ -146,7 +147,7 @@
             RecentForwards(),
             SilenceDetector(),
             RegionLoads(),
-            self.coordination.may_send_cold,
+            self.coordination.rate_share,
             RequestLimits(),
         )
         self._build_store_tasks()
@@ -216,7 +217,10 @@
             self.placement.options.service_loads,
             lambda: self.fleet.version,
         )
-        heartbeats = RouteHeartbeats(heartbeat_state, env.clock, self._on_new_peer)
+        limit_relay = LimitRelay(self._routing_state.limits, env.clock, env.log)
+        heartbeats = RouteHeartbeats(
+            heartbeat_state, limit_relay, env.clock, self._on_new_peer
+        )
         self._links = LinkManager(
             self.cfg.peers,
             self.membership,
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -180,7 +180,7 @@
             RecentForwards(),
             SilenceDetector(),
             RegionLoads(),
-            lambda name, now: True,
+            lambda name, now: 1.0,
             RequestLimits(),
         )
 
