Count the limits of replicas in summaries and predicted waits

While replicas named limits, calls were held and then refused: a call waited for a limited replica for up to its whole bound, 1.0 s in the test, because the predicted wait counted its slots; and a region whose replicas took no more told other regions of free slots, so that calls were forwarded there, waited and were refused after 2.0 s.

A limited replica now serves a queue at its limit at most. The summary of a region counts it as a free slot only if its own region leaves the limit unused, and by its wait only if the region has no other replica. Prompts that share a part prefer a replica without a limit, because a limited one gets too few of them.

--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -116,18 +116,27 @@
             for replica in self._replicas_by_region(call.service, now).get(region, ())
         )
 
-    def predicted_wait(self, call: Call, ahead: int, now: float) -> float:
+    def predicted_wait(self, call: Call, ahead: float, now: float) -> float:
         """Return the seconds until a call with `ahead` calls before it gets a slot."""
         state = self._routing_state
         spec = state.fleet.service(call.service)
         replicas = self._replicas_by_region(call.service, now)
-        slots = sum(
-            slot_limit(replica, spec)
+        work = state.service_times.expected(call.service, "")
+        rate = sum(
+            self._slot_rate(replica, spec, work, now)
             for replica in replicas.get(self._local_region(), ())
             if self._may_use(replica, now)
         )
-        work = state.service_times.expected(call.service, "")
-        return (ahead + 1) * work / max(slots, 1)
+        return (ahead + 1) / rate if rate else math.inf
+
+    def _slot_rate(self, replica: Replica, spec, work: float, now: float) -> float:
+        """Return how many calls per second get a slot while all slots are used."""
+        state = self._routing_state
+        rate = slot_limit(replica, spec) / work if work else math.inf
+        if state.limits.rate(replica) is None:
+            return rate
+        share = state.rate_share(replica.name, now)
+        return min(rate, state.limits.usable_rate(replica, share))
 
     def best_region(
         self, call: Call, history: AttemptHistory, now: float, free_only: bool
@@ -180,21 +189,38 @@
                 )
                 if self._may_use(replica, now)
                 and not state.fleet.reports_cold(replica, now)
+                and self._has_share(replica, now)
             ]
             if replicas:
                 loads[service] = self._service_load(service, replicas, now)
         return loads
 
     def _service_load(self, service, replicas, now) -> ServiceLoad:
+        """Return the load of a service.
+
+        A replica with a limit takes a call of another region only if its own region
+        does not use the limit up; the summary may be half a second old there.
+        """
         state = self._routing_state
         spec = state.fleet.service(service)
         work = state.service_times.expected(service, "")
-        free_slots, waits = 0, []
+        free_slots, waits, limited_waits = 0, [], []
         for replica in replicas:
             load = state.loads.total(replica.name, now)
-            free_slots += max(slot_limit(replica, spec) - load.running, 0)
-            waits.append(predicted_seconds(replica, load, spec, None, 0, work))
-        return ServiceLoad(len(replicas), free_slots, min(waits))
+            free = max(slot_limit(replica, spec) - load.running, 0)
+            wait = predicted_seconds(replica, load, spec, None, 0, work)
+            if state.limits.rate(replica) is None:
+                free_slots += free
+                waits.append(wait)
+            else:
+                share = state.rate_share(replica.name, now)
+                if state.limits.is_unused(replica, share, now):
+                    free_slots += min(free, 1)
+                limited_waits.append(
+                    wait + state.limits.wait_seconds(replica, share, now)
+                )
+        waits = waits or limited_waits
+        return ServiceLoad(len(waits), free_slots, min(waits))
 
     def _region_option(self, call, region, load: ServiceLoad, now) -> RegionOption:
         state = self._routing_state
@@ -219,8 +245,10 @@
         service_seconds = state.service_times.expected(call.service, call.kind.value)
         preferred_name = ""
         if prompt is not None:
+            # A replica with a limit gets too few of the prompts that share a part.
+            unlimited = [r for r in replicas if state.limits.rate(r) is None]
             preferred_name = preferred_replica(
-                prompt, [replica.name for replica in replicas]
+                prompt, [replica.name for replica in unlimited or replicas]
             )
         options = []
         for replica in usable:
@@ -252,9 +280,14 @@
             return state.pacer.may_send(replica.name, now) and bool(
                 state.rate_share(replica.name, now)
             )
-        if state.limits.rate(replica) is not None:
-            return bool(state.rate_share(replica.name, now))
-        return True
+        return self._has_share(replica, now)
+
+    def _has_share(self, replica: Replica, now: float) -> bool:
+        """Return whether the local host may use a part of a replica's limit."""
+        state = self._routing_state
+        return state.limits.rate(replica) is None or bool(
+            state.rate_share(replica.name, now)
+        )
 
     def _may_use(self, replica: Replica, now: float) -> bool:
         state = self._routing_state
--- a/sassafraskeel/decisions/request_limits.py
+++ b/sassafraskeel/decisions/request_limits.py
@@ -71,12 +71,20 @@
         """Return whether the local host may place a request at a replica now."""
         return self.wait_seconds(replica, share, now) <= 0
 
+    def is_unused(self, replica: Replica, share: float, now: float) -> bool:
+        """Return whether the limit of a replica has not been used up for a while."""
+        return self._allowed_requests(replica, share, now) >= BURST
+
     def wait_seconds(self, replica: Replica, share: float, now: float) -> float:
         """Return the seconds until the limit of a replica allows another request."""
         if self.rate(replica) is None:
             return 0.0
         missing = 1 - self._allowed_requests(replica, share, now)
-        return max(missing / self._usable_rate(replica, share), 0.0)
+        return max(missing / self.usable_rate(replica, share), 0.0)
+
+    def usable_rate(self, replica: Replica, share: float) -> float:
+        """Return the requests per second that the local host may place at a replica."""
+        return max(self.rate(replica), MIN_RATE) * share
 
     def sent(self, replica: Replica, share: float, now: float) -> None:
         """Count a request that is placed at a replica."""
@@ -133,12 +141,9 @@
         for name in [name for name in self._statements if name not in names]:
             self._drop(name)
 
-    def _usable_rate(self, replica: Replica, share: float) -> float:
-        return max(self.rate(replica), MIN_RATE) * share
-
     def _allowed_requests(self, replica: Replica, share: float, now: float) -> float:
         requests, counted_at = self._allowances[replica.name]
-        added = self._usable_rate(replica, share) * (now - counted_at)
+        added = self.usable_rate(replica, share) * (now - counted_at)
         return min(requests + added, BURST)
 
     def _store(self, name: str, statement: Statement, now: float) -> None:
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -32,7 +32,7 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
-from sassafraskeel.decisions.request_limits import RequestLimits
+from sassafraskeel.decisions.request_limits import NamedLimit, RequestLimits
 from sassafraskeel.decisions.routes import (
     CallerLimits,
     EngineSpec,
@@ -61,6 +61,9 @@
     tokens_per_event: int = 5
 
 
+SMALL_ENGINE = EngineModel()
+
+
 class Engine:
     """Prefills one prompt at a time, keeps prompt parts and decodes in its slots."""
 
@@ -127,10 +130,13 @@
     `heard` other hosts, which it hears of every 0.4 s.
     """
 
-    def __init__(self, clock, hosts, engines, coordinated, heard=16, seed=1):
+    def __init__(
+        self, clock, hosts, engines, coordinated, heard=16, seed=1, model=SMALL_ENGINE
+    ):
         self.clock = clock
+        self._model = model
         self.rng = random.Random(seed)
-        self.engines = {f"e-{n}": Engine(clock, EngineModel()) for n in range(engines)}
+        self.engines = {f"e-{n}": Engine(clock, model) for n in range(engines)}
         count = 1 if coordinated else hosts
         self._states = [self._build_state(number) for number in range(count)]
         self._placements = [
@@ -140,13 +146,20 @@
             for number, state in enumerate(self._states)
         ]
         self._heard = 0 if coordinated else heard
+        # The limits that engines name, in requests per second.
+        self.limits: dict[str, float] = {}
         self.outcomes: list[str] = []
         self.by_priority = {0: Counter(), 1: Counter()}
 
     def _build_state(self, number) -> RoutingState:
         fleet = Fleet(REGIONS)
         spec = ServiceSpec(
-            SERVICE, "/", 1000, 0.0, 0.0, EngineSpec(12, EngineModel().kv_cache_tokens)
+            SERVICE,
+            "/",
+            1000,
+            0.0,
+            0.0,
+            EngineSpec(self._model.slots, self._model.kv_cache_tokens),
         )
         routes = tuple(
             Route(
@@ -167,7 +180,8 @@
         )
         fleet.accept(Manifest(1, routes, {SERVICE: spec}, CallerLimits(1, 1, 1, 1)))
         for name in self.engines:
-            fleet.update(Replica(name, 1, SERVICE, "a", ADDRESS, 12, False))
+            slots = self._model.slots
+            fleet.update(Replica(name, 1, SERVICE, "a", ADDRESS, slots, False))
         host = HostInfo(f"h-{number}", "a", "1", ADDRESS, ADDRESS)
         return RoutingState(
             fleet,
@@ -233,6 +247,8 @@
         index = self._placements.index(placement)
         now = self.clock.monotonic()
         self._states[index].loads.reported(target.name, engine.requests, now)
+        limit = NamedLimit(self.limits.get(target.name))
+        self._states[index].limits.answered(target.upstream, limit, now, now)
         await placement.head_received(target)
         await engine.decode(output)
         await placement.release(target, call, True, self.clock.monotonic() - started)
