Keep the requests of limited replicas for the calls that are most work

A limit counts requests, not work, and whichever call came next used it up.

The requests of a limited replica are kept for calls that are at least as much work as the average one for the best other replica: uncached tokens of the prompt, and five for each output token. Other calls get them if they are not used up, or if no other replica or region has a free slot.

--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -26,6 +26,7 @@
     PromptPart,
     RoutePolicy,
 )
+from sassafraskeel.decisions.call_costs import CallCosts
 from sassafraskeel.decisions.coordination import rank_coordinators
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.estimates import ServiceTimes
@@ -85,6 +86,7 @@
         RegionLoads(),
         lambda name, now: 1.0,
         RequestLimits(),
+        CallCosts(),
     )
 
 
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -6,6 +6,7 @@
 
 from sassafraskeel.calls.attempts import AttemptHistory
 from sassafraskeel.core.types import Call, HostInfo
+from sassafraskeel.decisions.call_costs import CallCosts, call_cost
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
 from sassafraskeel.decisions.forwards import RecentForwards
@@ -79,6 +80,7 @@
     region_loads: RegionLoads
     rate_share: Callable[[str, float], float]
     limits: RequestLimits
+    call_costs: CallCosts
 
 
 class RouteOptions:
@@ -108,6 +110,35 @@
         ]
         return self._options(call, usable, replicas, history, now)
 
+    def unreserved(self, call: Call, options: list[Option], now: float) -> list[Option]:
+        """Return the options that are not kept for other calls.
+
+        The few requests that a replica with a limit takes are kept for the calls that
+        are most work for the other replicas, as long as these use them up.
+        """
+        state, prompt = self._routing_state, call.route_policy.prompt
+        if prompt is None:
+            return options
+        cached_tokens = [
+            option.cached_tokens
+            for option in options
+            if state.limits.rate(option.replica) is None
+        ]
+        if len(cached_tokens) == len(options):
+            return options
+        cost = call_cost(prompt, max(cached_tokens, default=0))
+        state.call_costs.record(call.service, cost)
+        if state.call_costs.is_costly(call.service, cost):
+            return options
+        return [
+            option
+            for option in options
+            if state.limits.rate(option.replica) is None
+            or state.limits.is_unused(
+                option.replica, state.rate_share(option.replica.name, now), now
+            )
+        ]
+
     def has_local(self, call: Call, history: AttemptHistory, now: float) -> bool:
         """Return whether a replica of the local region is usable, free or not."""
         region = self._local_region()
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -188,13 +188,15 @@
         if call.hops or not self._queues.length(call.service):
             # Otherwise the waiting calls come first.
             local = self.options.local(call, history, now, free_only=True)
-        best = min((option.seconds for option in local), default=None)
+        unreserved = self.options.unreserved(call, local, now)
+        best = min((option.seconds for option in unreserved), default=None)
         if not call.hops and considers_other_regions(best, call.route_policy.objective):
             remote = self.options.best_region(call, history, now, free_only=True)
             if remote is not None and prefers_other_region(best, remote.seconds):
                 return self._remote_target(call, history, remote, now)
         if local:
-            return self._take_slot(call, choose_option(local, self._rng), now)
+            option = choose_option(unreserved or local, self._rng)
+            return self._take_slot(call, option, now)
         if call.hops or self.options.has_local(call, history, now):
             return None
         # No replica of the local region is usable, so the call waits in another one.
@@ -240,7 +242,9 @@
             now = self._clock.monotonic()
             local = self.options.local(call, history, now, free_only=True)
             if local:
-                target = self._take_slot(call, choose_option(local, self._rng), now)
+                unreserved = self.options.unreserved(call, local, now)
+                option = choose_option(unreserved or local, self._rng)
+                target = self._take_slot(call, option, now)
                 taken[target.name] = target
                 return target.upstream
             return None
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -21,6 +21,7 @@
 from sassafraskeel.core.route_settings import RouteSettings
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.types import HostInfo
+from sassafraskeel.decisions.call_costs import CallCosts
 from sassafraskeel.decisions.coordination import Coordination
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.estimates import ServiceTimes
@@ -149,6 +150,7 @@
             RegionLoads(),
             self.coordination.rate_share,
             RequestLimits(),
+            CallCosts(),
         )
         self._build_store_tasks()
         self._build_forwarder()
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -21,6 +21,7 @@
     PromptPart,
     RoutePolicy,
 )
+from sassafraskeel.decisions.call_costs import CallCosts
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
@@ -196,6 +197,7 @@
             RegionLoads(),
             lambda name, now: 1.0,
             RequestLimits(),
+            CallCosts(),
         )
 
     async def exchange_loads(self):
--- a/tests/test_limited_replicas.py
+++ b/tests/test_limited_replicas.py
@@ -5,10 +5,61 @@
 
 import curio
 
+from sassafraskeel.decisions.call_costs import MAX_SERVICES, CallCosts
+from tests.support.clock import run_virtual
+from tests.support.engines import EngineModel, Region, replay
 from tests.support.routes import with_routes
 
+ENGINES = 6
+HOSTS = 6
+SUBJECTS = 60
+# Four of the engines take three calls a second; the other two get the rest, which they
+# serve in time if it is not the part of the mix that is most work.
+LIMITED = 4
+LIMIT = 3.0
+CALLS_PER_SECOND = 40.0
+SECONDS = 15.0
 # The latency objective of the routes.
 OBJECTIVE_SECONDS = 0.5
+LARGE_ENGINE = EngineModel(
+    slots=64, kv_cache_tokens=246_000, prefill_rate=42_600.0, chunk=0.02
+)
+
+
+def play(change=None):
+    """Return the result of a load on engines most of which name a limit."""
+
+    async def main(clock):
+        region = Region(clock, HOSTS, ENGINES, coordinated=True, model=LARGE_ENGINE)
+        region.limits = {f"e-{number}": LIMIT for number in range(LIMITED)}
+        if change is not None:
+            change(region._placements[0].options)
+        return await replay(region, CALLS_PER_SECOND, SECONDS, SUBJECTS)
+
+    return run_virtual(main)
+
+
+def take_any_call(options):
+    """Let replicas with limits take the first call that comes."""
+    options.unreserved = lambda call, candidates, now: candidates
+
+
+class LoadTest(TestCase):
+    def test_limits_used_for_little_work(self):
+        """Guards against limited replicas that relieve the others of little work.
+
+        If any call used up the limits, three of ten first tokens were late.
+        """
+        reserved, first = play(), play(take_any_call)
+        self.assertGreaterEqual(reserved.in_time, 0.95)
+        self.assertGreater(reserved.in_time, first.in_time + 0.2)
+
+    def test_services_bounded(self):
+        """Guards against a table that grows with services that come and go."""
+        costs = CallCosts()
+        for number in range(2 * MAX_SERVICES):
+            costs.record(f"s-{number}", 1.0)
+        self.assertLessEqual(len(costs._means), MAX_SERVICES)
 
 
 async def send_reads(world, seconds, per_second, host=0):
