Count probes against limits, and read limits in health checks

A replica takes probes like other requests, but those for cold starts were sent around placement, and a limit that only the answer to a health check named was ignored until the first call.

ColdStartProber tells an observer of each probe and of the health in its answer. test_limit_in_health_check: no host knew the limit before.

--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -65,6 +65,7 @@
 from sassafraskeel.upstreams.replicas import (
     ReplicaClient,
     ReplicaHead,
+    ReplicaHealth,
     ReplicaInterface,
 )
 
@@ -270,6 +271,7 @@
             cfg.regions.get(cfg.host.domain, ""),
             lambda: self._route_links.coordinator_link() is None,
             self.fleet,
+            self,
             env.replicas,
             env.clock,
             env.network,
@@ -361,6 +363,18 @@
         if head.cold_seconds:
             self.fleet.mark_cold(replica.name, now)
 
+    def on_probe_sent(self, replica: Replica) -> None:
+        """Count a probe like a call; implements ProbeObserver."""
+        state, now = self._routing_state, self.clock.monotonic()
+        share = state.rate_share(replica.name, now)
+        state.limits.sent(replica, share, now)
+
+    def on_probe_answered(
+        self, replica: Replica, health: ReplicaHealth, sent_at: float
+    ) -> None:
+        """Record the limit in an answer to a probe; implements ProbeObserver."""
+        self._record_limit(replica, health.limit, sent_at, self.clock.monotonic())
+
     def _record_limit(
         self, replica: Replica, limit: NamedLimit | None, sent_at: float, now: float
     ) -> None:
--- a/sassafraskeel/upstreams/cold_start_probes.py
+++ b/sassafraskeel/upstreams/cold_start_probes.py
@@ -1,6 +1,7 @@
 """Health probes of replicas that may have restarted and be cold."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import SassafraskeelError
@@ -9,9 +10,8 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.net import Network
 from sassafraskeel.core.tasks import SupervisedTaskGroup
-from sassafraskeel.core.types import ResponseHead
 from sassafraskeel.decisions.fleet import Fleet, Replica
-from sassafraskeel.upstreams.replicas import ReplicaInterface
+from sassafraskeel.upstreams.replicas import ReplicaHealth, ReplicaInterface
 
 # The replica queues a probe for a slot like any other request.
 PROBE_TIMEOUT_SECONDS = 1.0
@@ -20,12 +20,24 @@
 MAX_ANSWER_BYTES = 64 * 1024
 
 
+class ProbeObserver(Protocol):
+    """Counts probes, which replicas take like other requests, and reads the answers."""
+
+    def on_probe_sent(self, replica: Replica) -> None:
+        """Count a probe."""
+
+    def on_probe_answered(
+        self, replica: Replica, health: ReplicaHealth, sent_at: float
+    ) -> None:
+        """Record the state in an answer to a probe that was sent at `sent_at`."""
+
+
 class ColdStartProber:
     """Probes each replica of the local region that is only suspected of being cold.
 
     Until a probe shows that the replica is warm, it is sent calls at its cold rate.
     `places_calls` returns whether the local host places calls at the replicas; another
-    host has no use for a probe.
+    host has no use for a probe. `observer` counts probes and learns of limits.
     """
 
     def __init__(
@@ -33,6 +45,7 @@
         region: str,
         places_calls: Callable[[], bool],
         fleet: Fleet,
+        observer: ProbeObserver,
         interface: ReplicaInterface,
         clock: Clock,
         network: Network,
@@ -41,6 +54,7 @@
         self._region = region
         self._places_calls = places_calls
         self._fleet = fleet
+        self._observer = observer
         self._interface = interface
         self._clock = clock
         self._network = network
@@ -69,6 +83,8 @@
         service = self._fleet.service(replica.service)
         if service is None:
             return
+        sent_at = self._clock.monotonic()
+        self._observer.on_probe_sent(replica)
         try:
             async with self._clock.timeout(PROBE_TIMEOUT_SECONDS):
                 head, _ = await request_once(
@@ -81,23 +97,25 @@
         except SassafraskeelError as exc:
             self._log_probe(replica, cold=None, detail=str(exc))
             return
-        cold = self._cold_seconds(replica, head)
+        health = self._interface.read_health(head)
+        if health.name == replica.name:
+            self._observer.on_probe_answered(replica, health, sent_at)
+        cold = _cold_seconds(replica, health)
         if cold == 0:
             self._fleet.mark_warm(replica.name)
         self._log_probe(replica, cold=cold, detail="")
 
-    def _cold_seconds(self, replica: Replica, head: ResponseHead) -> float | None:
-        """Return the seconds for which a replica stays cold.
-
-        Returns None if the replica is unhealthy or if another one answered at its
-        address.
-        """
-        health = self._interface.read_health(head)
-        if not health.healthy or health.name != replica.name:
-            return None
-        return health.cold_seconds
-
     def _log_probe(self, replica, cold, detail) -> None:
         self._log.emit(
             Event.COLD_PROBE, replica=replica.name, cold_seconds=cold, detail=detail
         )
+
+
+def _cold_seconds(replica: Replica, health: ReplicaHealth) -> float | None:
+    """Return the seconds for which a replica stays cold.
+
+    Returns None if the replica is unhealthy or if another one answered at its address.
+    """
+    if not health.healthy or health.name != replica.name:
+        return None
+    return health.cold_seconds
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -23,7 +23,7 @@
 from sassafraskeel.gateways.limit_relay import MAX_ROWS, LimitRelay
 from sassafraskeel.platform.replicas import PlatformReplicaInterface
 from tests.support.clock import VirtualClock
-from tests.support.routes import with_routes
+from tests.support.routes import manifest, with_routes
 
 NO_LIMIT = NamedLimit(None)
 ADDRESS = Address("10.0.0.1", 80)
@@ -250,6 +250,21 @@
         self.assert_limit_kept(limited, 2, start)
         await world.network.faults.thaw(name)
 
+    @with_routes(world_options=FLEET, document=manifest(coldStartS=3.0, coldPerS=2.0))
+    async def test_limit_in_health_check(self, world):
+        """Guards against limits that are overlooked in the answer to a health check."""
+        limited = world.replicas[0]
+        await world.store.write("op/evacuate/north-a", b"{}")
+        await world.clock.sleep(1)
+        limited.limit = "2"
+        # The replicas may be cold now, so that they are probed.
+        await world.store.write("op/evacuate/north-a", None)
+        await world.clock.sleep(1)
+        self.assertEqual((limited.probes, limited.arrivals), (1, 0))
+        for host in world.hosts[:4]:
+            replica = host.fleet.get(limited.name)
+            self.assertEqual(host._routing_state.limits.rate(replica), 2.0)
+
     @with_routes(world_options=FLEET)
     async def test_shares_exceed_limit(self, world):
         """Guards against shares that exceed one and a half times the rate together."""
