Look at limits only while replicas name some

A placement looked each replica up in the table of limits four times, and a call that waited was added to the average work of its service whenever its queue was served, so that the calls at the head of queues weighed most.

--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -110,6 +110,21 @@
         ]
         return self._options(call, usable, replicas, history, now)
 
+    def record_cost(self, call: Call, now: float) -> None:
+        """Add a call to the average work of its service while replicas name limits."""
+        state, prompt = self._routing_state, call.route_policy.prompt
+        if prompt is None or state.limits.is_empty():
+            return
+        regions = self._replicas_by_region(call.service, now)
+        replicas = regions.get(self._local_region(), [])
+        unlimited = [r for r in replicas if state.limits.rate(r) is None]
+        if len(unlimited) < len(replicas):
+            cached_tokens = [
+                state.prompt_caches.cached_tokens(r.name, prompt) for r in unlimited
+            ]
+            cost = call_cost(prompt, max(cached_tokens, default=0))
+            state.call_costs.record(call.service, cost)
+
     def unreserved(self, call: Call, options: list[Option], now: float) -> list[Option]:
         """Return the options that are not kept for other calls.
 
@@ -117,27 +132,23 @@
         are most work for the other replicas, as long as these use them up.
         """
         state, prompt = self._routing_state, call.route_policy.prompt
-        if prompt is None:
+        if prompt is None or state.limits.is_empty():
             return options
-        cached_tokens = [
-            option.cached_tokens
-            for option in options
-            if state.limits.rate(option.replica) is None
-        ]
-        if len(cached_tokens) == len(options):
+        unlimited = [o for o in options if state.limits.rate(o.replica) is None]
+        if len(unlimited) == len(options):
             return options
-        cost = call_cost(prompt, max(cached_tokens, default=0))
-        state.call_costs.record(call.service, cost)
-        if state.call_costs.is_costly(call.service, cost):
+        cached_tokens = max((option.cached_tokens for option in unlimited), default=0)
+        if state.call_costs.is_costly(call.service, call_cost(prompt, cached_tokens)):
             return options
-        return [
+        unused = [
             option
             for option in options
-            if state.limits.rate(option.replica) is None
-            or state.limits.is_unused(
+            if option not in unlimited
+            and state.limits.is_unused(
                 option.replica, state.rate_share(option.replica.name, now), now
             )
         ]
+        return unlimited + unused
 
     def has_local(self, call: Call, history: AttemptHistory, now: float) -> bool:
         """Return whether a replica of the local region is usable, free or not."""
@@ -276,10 +287,8 @@
         service_seconds = state.service_times.expected(call.service, call.kind.value)
         preferred_name = ""
         if prompt is not None:
-            # A replica with a limit gets too few of the prompts that share a part.
-            unlimited = [r for r in replicas if state.limits.rate(r) is None]
             preferred_name = preferred_replica(
-                prompt, [replica.name for replica in unlimited or replicas]
+                prompt, [replica.name for replica in self._unlimited(replicas)]
             )
         options = []
         for replica in usable:
@@ -300,6 +309,16 @@
             options.append(Option(replica, seconds, cached_tokens, busy))
         return options
 
+    def _unlimited(self, replicas: list[Replica]) -> list[Replica]:
+        """Return the replicas without limits, or all if each of them has one.
+
+        A replica with a limit gets too few of the prompts that share a part.
+        """
+        limits = self._routing_state.limits
+        if limits.is_empty():
+            return replicas
+        return [r for r in replicas if limits.rate(r) is None] or replicas
+
     def _is_usable(self, replica: Replica, now: float) -> bool:
         state = self._routing_state
         if not self._may_use(replica, now):
@@ -311,7 +330,7 @@
             return state.pacer.may_send(replica.name, now) and bool(
                 state.rate_share(replica.name, now)
             )
-        return self._has_share(replica, now)
+        return state.limits.is_empty() or self._has_share(replica, now)
 
     def _has_share(self, replica: Replica, now: float) -> bool:
         """Return whether the local host may use a part of a replica's limit."""
@@ -330,7 +349,9 @@
         state = self._routing_state
         spec = state.fleet.service(replica.service)
         running = state.loads.total(replica.name, now).running
-        return running < slot_limit(replica, spec) and self._limit_allows(replica, now)
+        if running >= slot_limit(replica, spec):
+            return False
+        return state.limits.is_empty() or self._limit_allows(replica, now)
 
     def _limit_allows(self, replica: Replica, now: float) -> bool:
         state = self._routing_state
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -79,6 +79,7 @@
 
     async def find_target(self, call: Call, history: AttemptHistory) -> Target:
         self._crash_guard.check(call)
+        self.options.record_cost(call, self._clock.monotonic())
         target = await self._find_free_target(call, history)
         if target.upstream is None:
             return target
--- a/sassafraskeel/decisions/request_limits.py
+++ b/sassafraskeel/decisions/request_limits.py
@@ -60,6 +60,10 @@
         self._statements: dict[str, Statement] = {}
         self._allowances: dict[str, _Allowance] = {}
 
+    def is_empty(self) -> bool:
+        """Return whether no replica is known to have named a limit."""
+        return not self._statements
+
     def rate(self, replica: Replica) -> float | None:
         """Return the requests per second that a replica takes, None without a limit."""
         statement = self._statements.get(replica.name)
