Move what replicas report out of the host module

The code that puts their reports and the progress of their answers into the routing state is ReplicaStates now, and the host only builds it. No behaviour changes; the test of the log lines gives the host its log instead of replacing fields.

--- /dev/null
+++ b/sassafraskeel/calls/replica_states.py
@@ -0,0 +1,62 @@
+"""Records what replicas report about themselves and how their answers progress."""
+
+from sassafraskeel.calls.route_options import RoutingState
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.events import Event
+from sassafraskeel.core.log import LogSink
+from sassafraskeel.decisions.fleet import Replica
+from sassafraskeel.decisions.request_limits import NamedLimit
+from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
+
+
+class ReplicaStates:
+    """Updates the routing state; implements ReplicaObserver and ProbeObserver."""
+
+    def __init__(self, routing_state: RoutingState, clock: Clock, log: LogSink):
+        self._routing_state = routing_state
+        self._clock = clock
+        self._log = log
+
+    def on_head_received(
+        self, replica: Replica, head: ReplicaHead, sent_at: float
+    ) -> None:
+        state, now = self._routing_state, self._clock.monotonic()
+        self._record_limit(replica, head.limit, sent_at, now)
+        if head.requests is not None:
+            state.loads.reported(replica.name, head.requests, now)
+        if head.cold_seconds:
+            state.fleet.mark_cold(replica.name, now)
+
+    def on_data_expected(self, replica: Replica) -> None:
+        self._routing_state.silence_detector.expect_data(
+            replica.name, self._clock.monotonic()
+        )
+
+    def on_data_received(self, replica: Replica) -> None:
+        self._routing_state.silence_detector.data_received(
+            replica.name, self._clock.monotonic()
+        )
+
+    def on_call_finished(self, replica: Replica) -> None:
+        self._routing_state.silence_detector.call_finished(replica.name)
+
+    def on_probe_sent(self, replica: Replica) -> None:
+        state, now = self._routing_state, self._clock.monotonic()
+        state.limits.sent(replica, state.rate_share(replica.name, now), now)
+
+    def on_probe_answered(
+        self, replica: Replica, health: ReplicaHealth, sent_at: float
+    ) -> None:
+        self._record_limit(replica, health.limit, sent_at, self._clock.monotonic())
+
+    def _record_limit(
+        self, replica: Replica, limit: NamedLimit | None, sent_at: float, now: float
+    ) -> None:
+        limits = self._routing_state.limits
+        if limit is None:
+            # A limit that is already known still holds.
+            self._log.emit(Event.LIMIT_MALFORMED, replica=replica.name)
+        elif limits.answered(replica, limit, sent_at, now):
+            self._log.emit(
+                Event.LIMIT_CHANGED, replica=replica.name, rate=limit.rate, source=""
+            )
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -8,6 +8,7 @@
 from sassafraskeel.callers.server import CallerComponents, CallerServer
 from sassafraskeel.calls.crash_guard import CrashGuard, FeatureHasher
 from sassafraskeel.calls.record import CallRecorder
+from sassafraskeel.calls.replica_states import ReplicaStates
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.calls.route_calls import RouteCalls, RouteSenders
 from sassafraskeel.calls.route_options import RoutingState
@@ -25,7 +26,7 @@
 from sassafraskeel.decisions.coordination import Coordination
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.estimates import ServiceTimes
-from sassafraskeel.decisions.fleet import Fleet, Replica
+from sassafraskeel.decisions.fleet import Fleet
 from sassafraskeel.decisions.forwards import RecentForwards
 from sassafraskeel.decisions.health import Health
 from sassafraskeel.decisions.hosts import HostTable
@@ -34,7 +35,7 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
-from sassafraskeel.decisions.request_limits import NamedLimit, RequestLimits
+from sassafraskeel.decisions.request_limits import RequestLimits
 from sassafraskeel.decisions.shared_retry_budget import SharedRetryBudget
 from sassafraskeel.decisions.silence import SilenceDetector
 from sassafraskeel.gateways.drain_notice import notify_peers
@@ -62,12 +63,7 @@
 from sassafraskeel.store.updates import DocumentCodec
 from sassafraskeel.upstreams.cold_start_probes import ColdStartProber
 from sassafraskeel.upstreams.pool import ConnectionPool
-from sassafraskeel.upstreams.replicas import (
-    ReplicaClient,
-    ReplicaHead,
-    ReplicaHealth,
-    ReplicaInterface,
-)
+from sassafraskeel.upstreams.replicas import ReplicaClient, ReplicaInterface
 
 INCARNATION_BITS = 128
 # Time in which the load of a replica or host grows to the full share after failures.
@@ -264,14 +260,15 @@
     def _build_dispatcher(self) -> None:
         cfg, env = self.cfg, self._env
         self._pool = ConnectionPool(cfg.upstreams, env.clock, env.network)
+        replica_states = ReplicaStates(self._routing_state, env.clock, env.log)
         replica_client = ReplicaClient(
-            env.clock, self._pool, env.replicas, self, env.log
+            env.clock, self._pool, env.replicas, replica_states, env.log
         )
         self._cold_start_prober = ColdStartProber(
             cfg.regions.get(cfg.host.domain, ""),
             lambda: self._route_links.coordinator_link() is None,
             self.fleet,
-            self,
+            replica_states,
             env.replicas,
             env.clock,
             env.network,
@@ -352,57 +349,6 @@
             region, home_regions, self.request_tracker.draining, now
         )
 
-    def on_head_received(
-        self, replica: Replica, head: ReplicaHead, sent_at: float
-    ) -> None:
-        """Record the load and state in an answer; implements ReplicaObserver."""
-        now = self.clock.monotonic()
-        self._record_limit(replica, head.limit, sent_at, now)
-        if head.requests is not None:
-            self.loads.reported(replica.name, head.requests, now)
-        if head.cold_seconds:
-            self.fleet.mark_cold(replica.name, now)
-
-    def on_probe_sent(self, replica: Replica) -> None:
-        """Count a probe like a call; implements ProbeObserver."""
-        state, now = self._routing_state, self.clock.monotonic()
-        share = state.rate_share(replica.name, now)
-        state.limits.sent(replica, share, now)
-
-    def on_probe_answered(
-        self, replica: Replica, health: ReplicaHealth, sent_at: float
-    ) -> None:
-        """Record the limit in an answer to a probe; implements ProbeObserver."""
-        self._record_limit(replica, health.limit, sent_at, self.clock.monotonic())
-
-    def _record_limit(
-        self, replica: Replica, limit: NamedLimit | None, sent_at: float, now: float
-    ) -> None:
-        limits = self._routing_state.limits
-        if limit is None:
-            # A limit that is already known still holds.
-            self.log.emit(Event.LIMIT_MALFORMED, replica=replica.name)
-        elif limits.answered(replica, limit, sent_at, now):
-            self.log.emit(
-                Event.LIMIT_CHANGED, replica=replica.name, rate=limit.rate, source=""
-            )
-
-    def on_data_expected(self, replica: Replica) -> None:
-        """Record that data of a call is expected; implements ReplicaObserver."""
-        self._routing_state.silence_detector.expect_data(
-            replica.name, self.clock.monotonic()
-        )
-
-    def on_data_received(self, replica: Replica) -> None:
-        """Record that data of a call has arrived; implements ReplicaObserver."""
-        self._routing_state.silence_detector.data_received(
-            replica.name, self.clock.monotonic()
-        )
-
-    def on_call_finished(self, replica: Replica) -> None:
-        """Record that a call has finished; implements ReplicaObserver."""
-        self._routing_state.silence_detector.call_finished(replica.name)
-
     async def start(self) -> None:
         """Open the listeners and start all tasks; starting twice is harmless."""
         if self._started:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -339,8 +339,10 @@
     async def test_changes_are_logged(self, world):
         """Guards against limits of which no line of a host tells."""
         log = LimitLog()
-        [host] = world.hosts
-        host.log = host.dispatcher._log = log
+        await world.hosts.pop().close()
+        world.hosts.append(world.build_host(0, "north-a", log))
+        await world.hosts[0].start()
+        await world.clock.sleep(2)
         [limited] = world.replicas
         for limit in ("2.5", "2.5", "x", ""):
             limited.limit = limit
