Let a replica name a limit in each seed of the soak

Nothing that plays replicas under random faults named a limit. In each seed one replica does so from the first fault to the last, and check_limits compares the requests that reached it with one and a half times the limit and five more, in any four seconds from six seconds after it was named. The other steps of a seed are unchanged. The emulated replica takes the limit at /test/limit.

--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -16,6 +16,8 @@
 
 # Path at which tests read the ledger of a replica.
 LEDGER_PATH = "/test/ledger"
+# Path at which tests set the limit that a replica names, as the body of the request.
+LIMIT_PATH = "/test/limit"
 
 
 class Run(NamedTuple):
@@ -104,8 +106,16 @@
         """Answer one request."""
         if request.path == LEDGER_PATH:
             run_times = [(run.request_id, run.started_at) for run in self.runs]
-            content = {"runs": self.ledger, "arrivals": self.arrivals, "log": run_times}
+            content = {
+                "runs": self.ledger,
+                "arrivals": self.arrivals,
+                "arrival_times": self.arrival_times,
+                "log": run_times,
+            }
             return json_reply(content)
+        if request.path == LIMIT_PATH:
+            self.limit = request.body.decode()
+            return json_reply({})
         if request.path == "/healthz":
             self.probes += 1
             headers = [(b"x-sassafraskeel-instance-id", self.name.encode())]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,12 @@
 # After this time, an evacuated or drained replica must get no new calls.
 EVACUATE_SECONDS = 5.0
 DRAIN_SECONDS = 4.0
+# Hosts know a limit this long after a replica has named it first. From then on it gets
+# at most one and a half times its limit in a window, and five requests.
+LIMIT_KNOWN_SECONDS = 6.0
+LIMIT_WINDOW_SECONDS = 4.0
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
 
 
 class Outcome(NamedTuple):
@@ -53,6 +59,19 @@
     until: float
 
 
+class LimitedSpan(NamedTuple):
+    """A period in which a replica named a limit, and when requests arrived in it.
+
+    `rate` is in requests per second; times are monotonic seconds.
+    """
+
+    replica: str
+    rate: float
+    since: float
+    until: float
+    arrival_times: list[float]
+
+
 class Record(NamedTuple):
     """The observations of one run.
 
@@ -68,6 +87,7 @@
     faults_ended_at: float
     events_per_stream: int
     stale_directory_entries: list[str]
+    limited: list[LimitedSpan]
 
 
 def check_at_most_once(record: Record) -> list[str]:
@@ -161,6 +181,25 @@
     return record.stale_directory_entries
 
 
+def check_limits(record: Record) -> list[str]:
+    """Return the periods in which replicas got more than the limits that they named."""
+    problems = []
+    for span in record.limited:
+        first = span.since + LIMIT_KNOWN_SECONDS
+        times = sorted(time for time in span.arrival_times if time < span.until)
+        allowed = EXCESS_FACTOR * span.rate * LIMIT_WINDOW_SECONDS + EXCESS_REQUESTS
+        for start in (time for time in times if time >= first):
+            count = sum(start <= time < start + LIMIT_WINDOW_SECONDS for time in times)
+            if count > allowed:
+                seconds = start - span.since
+                problems.append(
+                    f"{span.replica} got {count} requests at {span.rate:g} a second, "
+                    f"{seconds:.2f} s after it had named its limit"
+                )
+                break
+    return problems
+
+
 CHECKS = (
     check_at_most_once,
     check_not_run,
@@ -169,6 +208,7 @@
     check_drained,
     check_recovery,
     check_directory,
+    check_limits,
 )
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,7 @@
 
 START_SECONDS = 2.0
 MAX_FAULT_SECONDS = 5.0
+LIMIT_START_SECONDS = 0.5
 HOST_KINDS = ("kill", "stop", "pause")
 LINK_KINDS = ("delay", "reset", "silence", "one_way", "refuse")
 
@@ -12,13 +13,15 @@
 class Step(NamedTuple):
     """A fault or an operation on a host, a replica, a zone or the store.
 
-    `at` is in seconds from the start of the run, and `duration` is in seconds.
+    `at` is in seconds from the start of the run, and `duration` is in seconds. `rate`
+    is the limit that a replica names, in requests per second.
     """
 
     at: float
     kind: str
     target: str
     duration: float
+    rate: float = 0.0
 
 
 class Targets(NamedTuple):
@@ -42,7 +45,17 @@
         duration = rng.uniform(0.3, MAX_FAULT_SECONDS)
         steps.append(_choose_step(rng, at, duration, targets, has_operations))
         at += rng.uniform(0.2, 2.5)
-    return steps
+    return [_choose_limit(seed, seconds, targets), *steps]
+
+
+def _choose_limit(seed: int, seconds: float, targets: Targets) -> Step:
+    """Return a limit that a replica names from the start of the faults to their end."""
+    # The other steps of a seed are those of before limits were added.
+    rng = random.Random(f"limit-{seed}")
+    rate = round(rng.uniform(0.5, 4.0), 1)
+    duration = seconds - LIMIT_START_SECONDS
+    target = rng.choice(targets.replicas)
+    return Step(LIMIT_START_SECONDS, "limit", target, duration, rate)
 
 
 def _choose_step(rng, at, duration, targets: Targets, has_operations: bool) -> Step:
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,10 +14,12 @@
 from sassafraskeel.core.http_client import request_once
 from sassafraskeel.core.net import Address, TcpNetwork, parse_address
 from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
 from soak.callers import Caller
 from soak.checks import (
     DRAIN_SECONDS,
     EVACUATE_SECONDS,
+    LimitedSpan,
     Record,
     ReplicaRun,
     Span,
@@ -75,6 +77,7 @@
         # Replicas that are drained or evacuated now.
         self._drained_replicas: set[str] = set()
         self._stale_directory_entries: list[str] = []
+        self._limited: list[LimitedSpan] = []
         self._version = 1
         self._faults_ended_at = 0.0
         # Unknown until the last fault has ended.
@@ -163,6 +166,7 @@
             self._faults_ended_at,
             STREAM_EVENTS,
             self._stale_directory_entries,
+            self._limited,
         )
 
     async def _apply(self, step: Step) -> None:
@@ -172,6 +176,8 @@
             await self._pause(step)
         elif step.kind in ("evacuate", "drain", "manifest"):
             await self._run_operation(step)
+        elif step.kind == "limit":
+            await self._limit_replica(step)
         elif step.kind == "reset":
             await self._proxies[step.target].reset()
         else:
@@ -208,6 +214,19 @@
         process.send_signal(signal.SIGCONT)
         self._paused_spans.append(Span(step.target, since, self._clock.monotonic()))
 
+    async def _limit_replica(self, step: Step) -> None:
+        """Let a replica name a limit for a while."""
+        rate = f"{step.rate:g}".encode()
+        await self._ask_replica(step.target, "PUT", LIMIT_PATH, rate)
+        since = self._clock.monotonic()
+        await self._clock.sleep(step.duration)
+        ledger = await self._ledger(step.target)
+        until = self._clock.monotonic()
+        await self._ask_replica(step.target, "PUT", LIMIT_PATH)
+        self._limited.append(
+            LimitedSpan(step.target, step.rate, since, until, ledger["arrival_times"])
+        )
+
     async def _run_operation(self, step: Step) -> None:
         if step.kind == "manifest":
             self._version += 1
@@ -263,9 +282,22 @@
                 self._stale_directory_entries.append(f"{host.name} lists {other.name}")
 
     async def _runs(self, replica: str) -> list[ReplicaRun]:
+        ledger = await self._ledger(replica)
+        return [ReplicaRun(name, replica, at) for name, at in ledger["log"]]
+
+    async def _ledger(self, replica: str) -> dict:
+        return json.loads(await self._ask_replica(replica, "GET", LEDGER_PATH))
+
+    async def _ask_replica(self, replica: str, method: str, path: str, body=b""):
+        """Return the answer of a replica, which may be paused for some seconds."""
         address = next(r.address for r in self._cluster.replicas if r.name == replica)
-        _, body = await self._fetch(address, "GET", "/test/ledger")
-        return [ReplicaRun(name, replica, at) for name, at in json.loads(body)["log"]]
+        expires = self._clock.monotonic() + READY_SECONDS
+        while True:
+            head, answer = await self._fetch(address, method, path, body)
+            if head is not None:
+                return answer
+            if self._clock.monotonic() > expires:
+                raise TimeoutError(f"{replica}: no answer in {READY_SECONDS:g} s")
 
     async def _register_replica(self, name: str, state: str = "ready") -> None:
         replica = next(r for r in self._cluster.replicas if r.name == name)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from soak.checks import Outcome, Record, ReplicaRun, Span, find_problems
+from soak.checks import LimitedSpan, Outcome, Record, ReplicaRun, Span, find_problems
 from soak.plan import Targets, make_plan
 from soak.run import RunSize, SoakRun
 
@@ -25,7 +25,9 @@
     return Outcome(f"c-{number}", kind, status=status, **values)
 
 
-def record(*outcomes, runs=(), drained=(), paused=(), stale_directory_entries=()):
+def record(
+    *outcomes, runs=(), drained=(), paused=(), stale_directory_entries=(), limited=()
+):
     """Return a record with enough served calls after the faults, and the given ones."""
     good = [outcome(number) for number in range(100, 130)]
     seen = [ReplicaRun(item.call_id, "r-0", item.sent_at) for item in good]
@@ -37,6 +39,7 @@
         20.0,
         len(ALL_EVENTS),
         list(stale_directory_entries),
+        list(limited),
     )
 
 
@@ -56,6 +59,17 @@
             self.failed_checks(resumed, broken, refused, unknown, runs=runs), set()
         )
 
+    def test_limit_exceeded(self):
+        """Guards against a replica over its limit that is not reported."""
+        kept = [10.0 + number / 2 for number in range(40)]
+        burst = [20.0 + number / 100 for number in range(10)]
+        for times, failed in ((kept, set()), (kept + burst, {"check_limits"})):
+            limited = LimitedSpan("r-0", 2.0, 5.0, 30.0, times)
+            self.assertEqual(self.failed_checks(limited=[limited]), failed)
+        # Hosts need not know the limit yet.
+        early = LimitedSpan("r-0", 2.0, 19.0, 30.0, kept + burst)
+        self.assertEqual(self.failed_checks(limited=[early]), set())
+
     def test_order_ran_twice(self):
         """Guards against an order that runs twice without being reported."""
         runs = [ReplicaRun("c-1", "r-0", 9.0), ReplicaRun("c-1", "r-1", 9.0)]
