Show a replica with a limit in the demo

make demo had no replica that names a limit. In one of its phases a replica now takes two requests a second; the phase fails if it gets more, or if a call is not answered.

--- a/sassafraskeel/decisions/call_costs.py
+++ b/sassafraskeel/decisions/call_costs.py
@@ -2,8 +2,8 @@
 
 from sassafraskeel.core.types import Prompt
 
-# An engine generates a token for each of its running requests in a step, in which it
-# prefills about five times as many tokens for each of them.
+# A step of an engine generates a token for each of its running requests. With 64 of
+# them it takes as long as the prefill of about five tokens for each.
 PREFILL_TOKENS_PER_OUTPUT_TOKEN = 5
 # The weight of the latest call in the moving average of a service.
 MOVING_AVERAGE_WEIGHT = 0.05
--- a/sassafraskeel/decisions/coordination.py
+++ b/sassafraskeel/decisions/coordination.py
@@ -10,8 +10,8 @@
 STANDBYS = 1
 # After a change the hosts of a region learn within this time which of them are live.
 SETTLE_SECONDS = 1.0
-# Share of a rate that a host uses which reaches no coordinator. The coordinator may
-# still use the whole rate, and replicas and the platform bear half as much again.
+# Share of a rate used by a host that reaches no coordinator. The coordinator may still
+# use the whole rate, and the platform's bounds have room for half as much again.
 UNCOORDINATED_SHARE = 0.5
 
 
--- a/tools/route_demo.py
+++ b/tools/route_demo.py
@@ -1,11 +1,15 @@
 """Runs route hosts through faults and prints the results of calls in each phase."""
 
+import json
 import sys
+import time
 import uuid
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
-from tools.route_cluster import RouteCluster, call, replica_entry
+from sassafraskeel.decisions.request_limits import BURST
+from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
+from tools.route_cluster import RouteCluster, call, fetch, replica_entry
 
 ZONES = {"serra-a": (2, 2), "campos-a": (2, 1), "planalto-a": (1, 1)}
 PATHS = (
@@ -16,6 +20,10 @@
 )
 CALLS = 120
 CALLERS = 12
+# Requests per second that a replica takes in the phase in which it names a limit, and
+# the seconds in which hosts learn of it.
+LIMIT = 2.0
+LEARN_SECONDS = 1.5
 
 
 def run_phase(cluster: RouteCluster, hosts, phase: str) -> bool:
@@ -44,12 +52,43 @@
     return answered == CALLS and not run_twice
 
 
+def run_limited_phase(cluster: RouteCluster, replica) -> bool:
+    """Let a replica name a limit during a phase; return whether it was kept."""
+    set_limit(replica, f"{LIMIT:g}")
+    for number in range(CALLERS):
+        call(
+            cluster.hosts[number % len(cluster.hosts)],
+            "/read/lot",
+            "GET",
+            f"l-{number}",
+        )
+    time.sleep(LEARN_SECONDS)
+    before, started = arrivals(replica), time.monotonic()
+    passed = run_phase(cluster, cluster.hosts, f"{replica.name} limited to {LIMIT:g}/s")
+    count, seconds = arrivals(replica) - before, time.monotonic() - started
+    allowed = LIMIT * seconds + BURST
+    set_limit(replica, "")
+    print(f"  {count} requests in {seconds:.1f} s, allowed {allowed:.1f}")
+    return passed and count <= allowed
+
+
+def set_limit(replica, limit: str) -> None:
+    """Set the limit that a replica names in its answers."""
+    fetch(replica.address, "PUT", LIMIT_PATH, body=limit.encode())
+
+
+def arrivals(replica) -> int:
+    """Return how many requests have reached a replica."""
+    return json.loads(fetch(replica.address, "GET", LEDGER_PATH).body)["arrivals"]
+
+
 def main() -> int:
     """Run all phases and return the exit status."""
     with RouteCluster(ZONES) as cluster:
         names = ", ".join(host.name for host in cluster.hosts)
         print(f"hosts {names}; {len(cluster.processes)} processes")
         passed = run_phase(cluster, cluster.hosts, "all hosts")
+        passed &= run_limited_phase(cluster, cluster.replicas[0])
         killed, *others = cluster.hosts
         cluster.stop(killed.name, 9)
         passed &= run_phase(cluster, others, f"{killed.name} killed")
