--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -249,6 +249,11 @@
             env.clock,
             env.log,
         )
+        self._register_handlers(heartbeats, feed_server)
+
+    def _register_handlers(
+        self, heartbeats: RouteHeartbeats, feed_server: FeedServer
+    ) -> None:
         links = self._links
         links.on_request(RouteHeartbeat, heartbeats.answer)
         links.on_request(DrainNotice, partial(self._answer_drain_notice, heartbeats))
