Do not take the limit of whoever answers at a used address

A 421 says that another replica answers at the address, but its limit, load and cold time were recorded for the replica that was meant: a replica of another service could limit one that had named nothing, until its next own answer.

Such answers say nothing of the meant replica now. test_limit_of_another_replica failed before (a limit of 1.0).

--- a/sassafraskeel/calls/replica_states.py
+++ b/sassafraskeel/calls/replica_states.py
@@ -20,6 +20,8 @@
     def on_head_received(
         self, replica: Replica, head: ReplicaHead, sent_at: float
     ) -> None:
+        if head.misdirected:
+            return  # Another replica answers at the address.
         state, now = self._routing_state, self._clock.monotonic()
         self._record_limit(replica, head.limit, sent_at, now)
         if head.requests is not None:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -265,6 +265,16 @@
             replica = host.fleet.get(limited.name)
             self.assertEqual(host._routing_state.limits.rate(replica), 2.0)
 
+    @with_routes(world_options=FLEET)
+    async def test_limit_of_another_replica(self, world):
+        """Guards against a limit or a load of whoever answers at a used address."""
+        host, other = world.hosts[0], world.replicas[0]
+        replica = host.fleet.get(other.name)
+        other.name, other.limit = "r-other", "1"
+        await send_reads(world, 2)
+        self.assertGreater(other.arrivals, 0)
+        self.assertIsNone(host._routing_state.limits.rate(replica))
+
     @with_routes(world_options=FLEET)
     async def test_shares_exceed_limit(self, world):
         """Guards against shares that exceed one and a half times the rate together."""
