Log where a stream is resumed and why a resume fails

Event 304 was written before a resume was tried and did not say where the stream went, so that a reader took failed resumes for successful ones. It is written after the resume, with target, cause and gap; 321 says why an attempt failed and how much time the call and its host had left. A broken answer of a host names that host: the first error of a stream that was given up read 'the peer closed the connection'.

The callbacks of tests.test_event_streams take the cause as well.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -53,7 +53,8 @@
     `excluded` targets are not used again; `penalized` targets answered with a failure
     and are used again only if no other target is better. `may_have_run` names the
     targets that may have run the call. `attempts` counts all attempts, and
-    `delivered_attempts` those that may have reached an upstream.
+    `delivered_attempts` those that may have reached an upstream. `target` names the
+    target of the latest attempt.
     """
 
     def __init__(self):
@@ -62,6 +63,7 @@
         self.may_have_run: set[str] = set()
         self.delivered_attempts = 0
         self.attempts = 0
+        self.target = ""
 
 
 class AttemptPolicy(Protocol):
@@ -114,6 +116,7 @@
             # cancels its call with PeerLeft.
             raise overall_refusal(last, draining_refusal(), history) from exc
         history.attempts += 1
+        history.target = target.name
         try:
             answer = await policy.send_attempt(target, call, body, history)
         except Refusal as refusal:
--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -22,8 +22,9 @@
 # The bytes of an incomplete line end that the end of an event may begin with.
 MAX_LINE_END_BYTES = 3
 
-# Returns the events of the stream after an event id; raises Refusal.
-Resume = Callable[[str], Awaitable[Answer]]
+# Returns the events of the stream after an event id; raises Refusal. The error is what
+# broke the stream.
+Resume = Callable[[str, SassafraskeelError], Awaitable[Answer]]
 MayResume = Callable[[], bool]
 
 
@@ -133,7 +134,7 @@
         # The next answer checks by itself whether it needs an event.
         self._pending, self._stalling, self._needs_event = b"", None, False
         try:
-            self._answer = await self._resume(self._last_id)
+            self._answer = await self._resume(self._last_id, exc)
         except Refusal as refusal:
             self._resume = None
             raise AnswerTruncated(f"{exc}; not resumed: {refusal}") from exc
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -1,5 +1,6 @@
 """Calls of the routes of a manifest: checks, attempts, retries and resumption."""
 
+import math
 from functools import partial
 from typing import NamedTuple, Protocol
 
@@ -16,6 +17,7 @@
     Outcome,
     Reason,
     Refusal,
+    SassafraskeelError,
     not_run_refusal,
     unknown_outcome_refusal,
 )
@@ -278,32 +280,54 @@
         if not call.route_policy.resumable:
             return None
 
-        async def resume(last_id: str) -> Answer:
+        async def resume(last_id: str, cause: SassafraskeelError) -> Answer:
+            began_at = self._clock.monotonic()
             if not self._may_retry_possibly_run(call, history):
                 raise not_run_refusal(
                     Reason.UPSTREAM_FAILED, "no further attempt is allowed"
                 )
             history.excluded |= history.may_have_run
-            self._log.emit(
-                Event.STREAM_RESUMED,
-                call=call.call_id,
-                after=last_id,
-                sends=history.attempts,
-            )
             resumed = call._replace(
                 resume_after=last_id or call.resume_after,
                 queue_deadline=self._clock.monotonic() + RESUME_TIMEOUT_SECONDS,
             )
-            answer = await run_attempts(self, resumed, body, history)
+            try:
+                answer = await run_attempts(self, resumed, body, history)
+            except Refusal as refusal:
+                self._log_failed_resume(call, cause, refusal)
+                raise
             if answer.head.status >= 300 or not is_event_stream(answer.head):
                 await answer.close()
                 raise unknown_outcome_refusal(
                     Reason.UPSTREAM_FAILED, "the stream was not resumed"
                 )
+            self._log.emit(
+                Event.STREAM_RESUMED,
+                call=call.call_id,
+                after=last_id,
+                to=history.target,
+                sends=history.attempts,
+                cause=str(cause),
+                gap_ms=round((self._clock.monotonic() - began_at) * 1000),
+            )
             return answer
 
         return resume
 
+    def _log_failed_resume(self, call: Call, cause, refusal: Refusal) -> None:
+        now, hosts = self._clock.monotonic(), self._routing_state.hosts
+        closes_in = hosts.closes_at(hosts.local_host) - now
+        self._log.emit(
+            Event.RESUME_FAILED,
+            call=call.call_id,
+            cause=str(cause),
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            left_ms=round((call.expires - now) * 1000),
+            closes_in_ms=round(closes_in * 1000) if math.isfinite(closes_in) else None,
+        )
+
     def _head_timeout(self, target: Target, call: Call) -> float:
         if call.kind is CallKind.MODEL:
             minimum = MIN_STREAM_TIMEOUT_SECONDS
--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -51,10 +51,14 @@
 
 
 class ForwardedAnswer:
-    """The answer to a forwarded call, read while it arrives."""
+    """The answer to a forwarded call, read while it arrives.
+
+    `peer` is the name of the host that answers.
+    """
 
     def __init__(
         self,
+        peer: str,
         head: ResponseHead,
         conn: CallConnection,
         pool: "CallConnectionPool",
@@ -62,6 +66,7 @@
         expires: float | None,
     ):
         self.head = head
+        self._peer = peer
         self._conn = conn
         self._pool = pool
         self._clock = clock
@@ -71,12 +76,10 @@
     async def read(self) -> bytes:
         if self._complete:
             return b""
-        if self._expires is None:
-            message = await self._conn.channel.receive()
-        else:
-            # A host that is suspended does not end its calls at their deadline.
-            async with self._clock.timeout(self._expires - self._clock.monotonic()):
-                message = await self._conn.channel.receive()
+        try:
+            message = await self._receive()
+        except ConnectionLost as exc:
+            raise AnswerTruncated(f"{self._peer}: {exc}") from exc
         if isinstance(message, AnswerData):
             return message.data
         if isinstance(message, AnswerEnd):
@@ -85,7 +88,14 @@
         detail = (
             message.detail if isinstance(message, AnswerFail) else "unexpected message"
         )
-        raise AnswerTruncated(detail)
+        raise AnswerTruncated(f"{self._peer}: {detail}")
+
+    async def _receive(self):
+        if self._expires is None:
+            return await self._conn.channel.receive()
+        # A host that is suspended does not end its calls at their deadline.
+        async with self._clock.timeout(self._expires - self._clock.monotonic()):
+            return await self._conn.channel.receive()
 
     async def close(self) -> None:
         if self._complete:
@@ -196,6 +206,7 @@
             await conn.channel.close()
             raise self._unknown_outcome(call, host, "unexpected message")
         return ForwardedAnswer(
+            host.name,
             ResponseHead(head.status, head.headers),
             conn,
             pool,
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -70,7 +70,7 @@
             end = max(breaks.pop() - (len(WHOLE) - len(rest)), 0)
             return ScriptedAnswer(cut(rest[:end], positions), fails=True)
 
-        async def resume(last_id):
+        async def resume(last_id, cause):
             return answer(int(last_id or 0))
 
         async def main():
@@ -106,7 +106,7 @@
         first = ScriptedAnswer([EVENTS[0]], fails=True)
         seen = []
 
-        async def resume(last_id):
+        async def resume(last_id, cause):
             seen.append(first.closed)
             return ScriptedAnswer(EVENTS[1:])
 
@@ -119,7 +119,7 @@
     def test_refused_resumption(self):
         """Guards against a truncated stream that ends like a complete one."""
 
-        async def resume(last_id):
+        async def resume(last_id, cause):
             raise not_run_refusal(Reason.NO_UPSTREAM)
 
         async def main():
