Add failing tests of forwarded streams in planned stops

Guard against the three hypotheses of docs/incidents/streams-given-up-in-planned-stops.md: both ends of an offer judge how long a host stays by different knowledge, the wait for a slot is not counted, and a resume is refused like a new call. RouteWorld.open_call takes the deadline of the call.

--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -165,14 +165,16 @@
         address = self.hosts[host].cfg.listen.callers
         return await request_once(self.network, address, method, path, fields)
 
-    async def open_call(self, path, method="POST", host=0, call_id="c-1"):
+    async def open_call(
+        self, path, method="POST", host=0, call_id="c-1", deadline_ms=5000
+    ):
         """Send a call and return its connection before the answer is read."""
         address = self.hosts[host].cfg.listen.callers
         conn = await connect(self.network, address, 0.0)
         fields = (
             (b"host", HOST.encode()),
             (b"x-sassafraskeel-request-id", call_id.encode()),
-            (b"x-sassafraskeel-deadline-ms", b"5000"),
+            (b"x-sassafraskeel-deadline-ms", str(deadline_ms).encode()),
         )
         await conn.send(method, path, fields, b"")
         return conn
--- /dev/null
+++ b/tests/test_resumed_streams.py
@@ -0,0 +1,151 @@
+"""Forwarded streams that a planned stop cuts (docs/incidents, LOST)."""
+
+from unittest import TestCase
+
+import curio
+
+from tests.support.routes import ROUTES, manifest, with_routes
+from tests.test_route_host import drain_stream, events
+
+# The host of the caller is in the south, and all replicas are in the north.
+FAR_REPLICAS = {
+    "world_options": {"replica_zones": ("north-a", "north-a")},
+    "document": manifest(
+        routes=[dict(r, timeoutMs=30_000, targetLatencyMs=8_000) for r in ROUTES]
+    ),
+}
+ONE_FAR_HOST = {
+    "world_options": {
+        "replica_zones": ("north-a", "north-a"),
+        "zones": ("north-a", "south-a"),
+    },
+    "document": FAR_REPLICAS["document"],
+}
+DEADLINE_MS = 30_000
+
+
+async def restart(world, number, zone):
+    """Start a host again under its name after it has drained and closed."""
+    world.hosts[number] = world.build_host(number, zone)
+    await world.hosts[number].start()
+
+
+class OfferTest(TestCase):
+    """Offers of calls to hosts that are being stopped."""
+
+    @with_routes(**FAR_REPLICAS)
+    async def test_offer_to_a_host_without_service_times(self, world):
+        """Guards against a refusal by a host that was started just before its stop.
+
+        configs-rolls --seed 1 on atlas-coffre: it knew no mean time of such calls, and
+        refused each that was allowed to last until after its close.
+        """
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(2.0)
+        world.hosts[2]._routing_state.service_times.record("desk", "model", 0.1)
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        body, _ = await drain_stream(conn)
+        self.assertEqual(events(body), [1, 2, 3, 4, 5])
+        for task in drains:
+            await task.join()
+
+    @with_routes(**FAR_REPLICAS)
+    async def test_host_of_the_caller_stops_too(self, world):
+        """Guards against a call that is taken by its mean time and cut, although the
+        host that forwards it is being stopped.
+
+        That host may not have heard of the other's drain.
+        """
+        for host in world.hosts:
+            host._routing_state.service_times.record("desk", "model", 0.1)
+        for replica in world.replicas:
+            replica.delay = 0.9
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(2.8)
+        drains.append(await curio.spawn(world.hosts[2].drain))
+        await world.clock.sleep(0.2)
+        world.hosts[2].hosts.stays_until = lambda host, time: True
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        _, ended = await drain_stream(conn)
+        self.assertTrue(ended)
+        for task in drains:
+            await task.join()
+
+    @with_routes(**FAR_REPLICAS)
+    async def test_wait_for_a_slot(self, world):
+        """Guards against a call that waits in the queue of a draining host for so long
+        that it is cut after its start.
+        """
+        for host in world.hosts:
+            host._routing_state.service_times.record("desk", "model", 1.5)
+        for replica in world.replicas:
+            replica.hang = 1
+            await world.register_replica(replica, slots=1)
+        await world.clock.sleep(1.0)
+        busy = []
+        for number in (0, 1):
+            call_id = f"busy-{number}"
+            busy.append(
+                await world.open_call(
+                    "/order/1", call_id=call_id, deadline_ms=DEADLINE_MS
+                )
+            )
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(5.0)
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        await world.clock.sleep(1.2)
+        for other in busy:
+            await other.close()
+        await drain_stream(conn)
+        self.assertEqual(world.runs("c-1"), 0)
+        for task in drains:
+            await task.join()
+
+
+class ResumeTest(TestCase):
+    """Streams that go on after the host to which they were forwarded has closed."""
+
+    @with_routes(**ONE_FAR_HOST)
+    async def test_host_that_comes_back(self, world):
+        """Guards against a stream that is given up because the host that cut it is
+        not used again, although it was restarted.
+        """
+        await self.check_restart(world, 0.4)
+
+    @with_routes(**ONE_FAR_HOST)
+    async def test_host_that_comes_back_late(self, world):
+        """Guards against a stream that is given up like a new call that finds no slot.
+
+        configs-rolls --seed 1 on atlas-coffre: the host of the caller gave the stream
+        up 1.3 s after the cut and 2.5 s before it closed itself.
+        """
+        await self.check_restart(world, 2.2)
+
+    async def check_restart(self, world, seconds):
+        for replica in world.replicas:
+            replica.delay = 2.0
+        conn = await world.open_call("/stream/chat/1", host=1, deadline_ms=DEADLINE_MS)
+        await world.clock.sleep(0.3)
+        await world.hosts[0].drain()
+        await world.clock.sleep(seconds)
+        await restart(world, 0, "north-a")
+        body, ended = await drain_stream(conn)
+        self.assertTrue(ended)
+        self.assertEqual(events(body), [1, 2, 3, 4, 5])
+        self.assertEqual(world.runs("c-1"), 2)
+
+    @with_routes(**ONE_FAR_HOST)
+    async def test_own_host_closes(self, world):
+        """Guards against a stream that waits for a resume after its host has closed."""
+        for replica in world.replicas:
+            replica.delay = 2.0
+        conn = await world.open_call("/stream/chat/1", host=1, deadline_ms=DEADLINE_MS)
+        await world.clock.sleep(0.3)
+        drain = await curio.spawn(world.hosts[0].drain)
+        await world.clock.sleep(5.0)
+        started_at = world.clock.monotonic()
+        await world.hosts[1].drain()
+        self.assertLess(world.clock.monotonic() - started_at, 7.6)
+        _, ended = await drain_stream(conn)
+        self.assertFalse(ended)
+        await drain.join()
