Say in an offer how long the host that gets it must stay

Callers saw streams cut by the stop of a host that should not have taken them, and streams given up because hosts refused that could have. Cause: both ends of a forwarded call judged whether a draining host stays long enough, each by its own mean time, and the receiver did not know that the sender was being stopped.

The offer carries how long the answer may be needed and how long the call is expected to run; the receiver compares that with its own close. Mixed versions close each other's call connections, as with earlier changes of messages.

Failed before: tests.test_resumed_streams.OfferTest test_offer_to_a_host_without_service_times (refused as draining) and test_host_of_the_caller_stops_too (cut).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -10,7 +10,12 @@
 from sassafraskeel.calls.event_streams import EventStream, is_event_stream
 from sassafraskeel.calls.placement import PlacedAttempt, Placement, attempt_failure
 from sassafraskeel.calls.request_tracker import draining_refusal
-from sassafraskeel.calls.route_options import RoutingState, expected_end
+from sassafraskeel.calls.route_options import (
+    RoutingState,
+    expected_end,
+    latest_end,
+    state_stay,
+)
 from sassafraskeel.calls.stream_start import StartReporter
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
@@ -146,7 +151,9 @@
         if since is None or not (call.hops or now - since > ACCEPT_SECONDS):
             return
         over_at = call.expires
-        if call.hops or call.kind is CallKind.READ:
+        if call.hops:
+            over_at = latest_end(call, now)
+        elif call.kind is CallKind.READ:
             over_at = expected_end(call, self._routing_state.service_times, now)
         if over_at > hosts.closes_at(hosts.local_host):
             raise draining_refusal()
@@ -209,7 +216,8 @@
 
     async def _attempt_on_host(self, target, call, body, history) -> Answer:
         local_host = self._routing_state.hosts.local_host
-        forwarded = call._replace(hops=(*call.hops, local_host.name))
+        forwarded = state_stay(call, self._routing_state)
+        forwarded = forwarded._replace(hops=(*call.hops, local_host.name))
         answer = await self._senders.hosts.send(target.host, forwarded, body)
         history.delivered_attempts += 1
         history.may_have_run.add(target.name)
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -204,14 +204,10 @@
         """Return the hosts of another region to which a call may be forwarded.
 
         A host that is being stopped must stay until the call is over, because its stop
-        would cut off the answer of a caller that is connected elsewhere. While the
-        local host is being stopped as well, it can't continue an answer that is cut.
+        would cut off the answer of a caller that is connected elsewhere.
         """
         hosts = self._routing_state.hosts
-        closes_at = hosts.closes_at(hosts.local_host)
-        over_at = min(call.expires, closes_at)
-        if math.isinf(closes_at):
-            over_at = expected_end(call, self._routing_state.service_times, now)
+        over_at = latest_end(state_stay(call, self._routing_state), now)
         return [
             host
             for host in hosts.reachable(region, now)
@@ -381,16 +377,30 @@
         return cached.regions
 
 
-def expected_end(call: Call, times: ServiceTimes, now: float) -> float:
-    """Return by when a forwarded call that starts now must be over.
+def state_stay(call: Call, routing_state: RoutingState) -> Call:
+    """Return a call that states how long a host to which it is forwarded must stay.
 
     A call that may be repeated continues elsewhere after a cut, so that its expected
-    time counts. Any other call may last until its deadline.
+    time counts. Any other call may last until its deadline. While the local host is
+    being stopped as well, it may have no time left to continue a call.
     """
+    hosts, run_seconds = routing_state.hosts, math.inf
+    closes_at = hosts.closes_at(hosts.local_host)
+    if math.isinf(closes_at) and call.route_policy.repeatable:
+        times = routing_state.service_times
+        run_seconds = times.expected(call.service, call.kind.value) or math.inf
+    return call._replace(needed_until=closes_at, run_seconds=run_seconds)
+
+
+def latest_end(call: Call, now: float) -> float:
+    """Return until when the host of a forwarded call that starts now must stay."""
+    return min(call.expires, call.needed_until, now + call.run_seconds)
+
+
+def expected_end(call: Call, times: ServiceTimes, now: float) -> float:
+    """Return by when a call that starts now is expected to be over."""
     expected = times.expected(call.service, call.kind.value)
-    if not call.route_policy.repeatable or not expected:
-        return call.expires
-    return min(call.expires, now + expected)
+    return min(call.expires, now + (expected or math.inf))
 
 
 def _allows_region(call: Call, region: str) -> bool:
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -73,6 +73,11 @@
     the request in decisions.suspects or decisions.crash_evidence and is not sent along
     with a forwarded call. Calls of a route have a `route_policy`; their `resume_after`
     is the id of the last event of a stream that the caller has received.
+
+    A forwarded call of a route states how long its host must stay: for `run_seconds`
+    after it was sent to a replica, but not after `needed_until`, a time of the local
+    monotonic clock. `run_seconds` is finite only if the forwarding host can continue
+    the call elsewhere after a cut.
     """
 
     call_id: str
@@ -91,6 +96,8 @@
     route_policy: RoutePolicy | None = None
     resume_after: str = ""
     queue_deadline: float = math.inf
+    needed_until: float = math.inf
+    run_seconds: float = math.inf
 
 
 def is_cancelled_with_caller(call: Call) -> bool:
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -102,7 +102,7 @@
     48: ViewReply,
     60: SuspectUpdate,
     # 61 and 63 were heartbeats that carried the loads of each host to many others.
-    62: RouteOffer,
+    # 62 was RouteOffer without the time for which the receiver must stay.
     # 64 and 65 were heartbeats that did not say when a drain had begun.
     # 66 was PlacementRequest without a fingerprint.
     67: Placed,
@@ -118,6 +118,7 @@
     78: RouteHeartbeatReply,
     # 80 was DrainNotice without the capacity of the host.
     81: DrainNotice,
+    85: RouteOffer,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -307,7 +307,9 @@
 
     `route_policy` lists the fields of core.types.RoutePolicy. `timeout` is the
     remaining time of the call and `start_within` the time that it may wait for a slot,
-    both in seconds. The body follows without waiting for Accept.
+    both in seconds, as are `needed_within` and `run_seconds`, which say how long the
+    receiver must stay (see core.types.Call). The body follows without waiting for
+    Accept.
     """
 
     call_id: str
@@ -322,6 +324,8 @@
     resume_after: str
     route_policy: list
     start_within: float
+    needed_within: float
+    run_seconds: float
 
 
 class DrainNotice(NamedTuple):
--- a/sassafraskeel/gateways/route_forwarding.py
+++ b/sassafraskeel/gateways/route_forwarding.py
@@ -208,6 +208,8 @@
         resume_after=call.resume_after,
         route_policy=encode_route_policy(call.route_policy),
         start_within=max(min(call.queue_deadline - now, timeout), 0.0),
+        needed_within=min(call.needed_until - now, timeout),
+        run_seconds=min(call.run_seconds, timeout),
     )
 
 
@@ -248,6 +250,8 @@
         route_policy=decode_route_policy(offer.route_policy),
         resume_after=offer.resume_after,
         queue_deadline=now + offer.start_within,
+        needed_until=now + offer.needed_within,
+        run_seconds=offer.run_seconds,
     )
 
 
