--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -236,8 +236,10 @@
         def check():
             now = self._clock.monotonic()
             hosts = self._routing_state.hosts
-            if now >= hosts.closes_at(hosts.local_host):
-                # The calls that end with the host free slots for those that wait.
+            over_at = latest_end(call, now) if call.hops else now
+            if over_at >= hosts.closes_at(hosts.local_host):
+                # The call has waited for a slot, or for the calls that end with the
+                # host.
                 raise draining_refusal()
             if not self._routing_state.fleet.accepts_work(replica, now):
                 raise not_run_refusal(
