Resume a stream until its own time or that of its host ends

Callers saw an answer end in the middle, seconds before its deadline and before their host closed. Cause: a resume that found no target within 1.2 s was refused like a new call, whose caller may come back; a stream whose head is sent can only be broken off.

A refused resume is tried again every 0.2 s until the deadline of the call, the close of the host of the caller or the caller itself ends it. Each try gets as many attempts as a new call; the runs of a route are limited as before. A refusal that holds for every target is final.

Failed before: tests.test_resumed_streams.ResumeTest test_host_that_comes_late (given up 1.2 s after the cut).

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -54,7 +54,8 @@
     and are used again only if no other target is better. `may_have_run` names the
     targets that may have run the call. `attempts` counts all attempts, and
     `delivered_attempts` those that may have reached an upstream. `target` names the
-    target of the latest attempt.
+    target of the latest attempt. `round_attempts` counts the attempts since the call
+    began or was last resumed.
     """
 
     def __init__(self):
@@ -64,6 +65,13 @@
         self.delivered_attempts = 0
         self.attempts = 0
         self.target = ""
+        self.round_attempts = 0
+
+    def start_round(self) -> None:
+        """Begin to resume a stream; targets that may have run it are not used."""
+        self.excluded = set(self.may_have_run)
+        self.penalized.clear()
+        self.round_attempts = 0
 
 
 class AttemptPolicy(Protocol):
@@ -116,6 +124,7 @@
             # cancels its call with PeerLeft.
             raise overall_refusal(last, draining_refusal(), history) from exc
         history.attempts += 1
+        history.round_attempts += 1
         history.target = target.name
         try:
             answer = await policy.send_attempt(target, call, body, history)
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -4,6 +4,8 @@
 from functools import partial
 from typing import NamedTuple, Protocol
 
+import curio
+
 from sassafraskeel.calls.answers import ReleasingAnswer, buffer_answer
 from sassafraskeel.calls.attempts import AttemptHistory, Target, run_attempts
 from sassafraskeel.calls.crash_guard import FeatureHasher
@@ -37,7 +39,8 @@
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.decisions.shared_retry_budget import SharedRetryBudget
 
-# Attempts of one call, including rejections and failed connections.
+# Attempts of one call, including rejections and failed connections; a stream that is
+# resumed gets as many again.
 MAX_ATTEMPTS = 6
 # A repeatable call without a response head is retried elsewhere after TIMEOUT_FACTOR
 # times its predicted time, but not before the minimum for its kind. Plain services
@@ -53,6 +56,11 @@
 # A resumed stream needs a slot within this time, because callers abandon a stream
 # after a gap of two seconds.
 RESUME_TIMEOUT_SECONDS = 1.2
+# Pause before the next attempt to resume a stream: hosts and replicas that come back
+# are known within half a second.
+RESUME_INTERVAL_SECONDS = 0.2
+# Refusals that hold for every target.
+FINAL_REASONS = (Reason.RESIDENCY, Reason.CRASHES_UPSTREAM)
 MIN_FAILURE_STATUS = 500
 # Calls of callers that have arrived this long after a drain began are served only if
 # they end in time. It is less than the time for which the host listens, because the
@@ -292,25 +300,16 @@
 
         async def resume(last_id: str, cause: SassafraskeelError) -> Answer:
             began_at = self._clock.monotonic()
-            if not self._may_retry_possibly_run(call, history):
-                raise not_run_refusal(
-                    Reason.UPSTREAM_FAILED, "no further attempt is allowed"
-                )
-            history.excluded |= history.may_have_run
-            resumed = call._replace(
-                resume_after=last_id or call.resume_after,
-                queue_deadline=self._clock.monotonic() + RESUME_TIMEOUT_SECONDS,
-            )
-            try:
-                answer = await run_attempts(self, resumed, body, history)
-            except Refusal as refusal:
-                self._log_failed_resume(call, cause, refusal)
-                raise
-            if answer.head.status >= 300 or not is_event_stream(answer.head):
-                await answer.close()
-                raise unknown_outcome_refusal(
-                    Reason.UPSTREAM_FAILED, "the stream was not resumed"
-                )
+            resumed = call._replace(resume_after=last_id or call.resume_after)
+            while True:
+                try:
+                    answer = await self._resume_once(resumed, body, history)
+                    break
+                except Refusal as refusal:
+                    self._log_failed_resume(call, cause, refusal)
+                    if not self._may_resume_later(call, refusal, history):
+                        raise
+                await self._clock.sleep(RESUME_INTERVAL_SECONDS)
             self._log.emit(
                 Event.STREAM_RESUMED,
                 call=call.call_id,
@@ -324,6 +323,47 @@
 
         return resume
 
+    async def _resume_once(self, call: Call, body: bytes, history) -> Answer:
+        if not self._may_resume(call, history):
+            raise not_run_refusal(
+                Reason.UPSTREAM_FAILED, "no further attempt is allowed"
+            )
+        history.start_round()
+        now = self._clock.monotonic()
+        call = call._replace(queue_deadline=now + RESUME_TIMEOUT_SECONDS)
+        answer = await run_attempts(self, call, body, history)
+        if answer.head.status >= 300 or not is_event_stream(answer.head):
+            await answer.close()
+            raise unknown_outcome_refusal(
+                Reason.UPSTREAM_FAILED, "the stream was not resumed"
+            )
+        return answer
+
+    def _may_resume(self, call: Call, history: AttemptHistory) -> bool:
+        """Return whether another target may run the rest of a stream."""
+        return (
+            len(history.may_have_run) < call.route_policy.max_upstreams
+            and call.expires > self._clock.monotonic()
+        )
+
+    def _may_resume_later(
+        self, call: Call, refusal: Refusal, history: AttemptHistory
+    ) -> bool:
+        """Return whether a stream whose head was sent may still be resumed.
+
+        For a new call a refusal is an answer, but a stream can only be broken off. It
+        is tried again until its own time or that of its host ends.
+        """
+        if refusal.reason in FINAL_REASONS or isinstance(
+            refusal.__cause__, curio.TaskCancelled
+        ):
+            return False
+        hosts = self._routing_state.hosts
+        retry_at = self._clock.monotonic() + RESUME_INTERVAL_SECONDS
+        return self._may_resume(call, history) and retry_at < min(
+            call.expires, hosts.closes_at(hosts.local_host)
+        )
+
     def _log_failed_resume(self, call: Call, cause, refusal: Refusal) -> None:
         now, hosts = self._clock.monotonic(), self._routing_state.hosts
         closes_in = hosts.closes_at(hosts.local_host) - now
@@ -358,7 +398,7 @@
             and not call.hops
             and len(history.may_have_run) + planned_attempts
             < call.route_policy.max_upstreams
-            and history.attempts + planned_attempts < MAX_ATTEMPTS
+            and history.round_attempts + planned_attempts < MAX_ATTEMPTS
             and call.expires > now
             and self._budget.allows(
                 call.service, self._routing_state.hosts.count(now), now
@@ -374,9 +414,9 @@
         )
 
     def may_retry(self, call: Call, refusal: Refusal, history: AttemptHistory) -> bool:
-        if history.attempts >= MAX_ATTEMPTS or refusal.reason is Reason.DEADLINE:
+        if history.round_attempts >= MAX_ATTEMPTS or refusal.reason is Reason.DEADLINE:
             return False
-        if refusal.reason in (Reason.RESIDENCY, Reason.CRASHES_UPSTREAM):
+        if refusal.reason in FINAL_REASONS:
             return False
         if refusal.outcome is Outcome.NOT_RUN:
             return call.expires > self._clock.monotonic()
