Use a restarted host again to resume a stream that it cut

Targets that may have run a call were excluded by name from its resume. For a forwarded call that is the name of a host, which leads to all replicas of its region and is back within a second, as another incarnation. Only replicas are left out now; hosts are judged by what is known of their drain and their links. Runs are counted by attempt, so that two runs through one host count as two.

Failed before: tests.test_resumed_streams.ResumeTest test_host_that_comes_back. The test drew the restarted host the same incarnation as before, so it needed a seed of its own.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -51,9 +51,9 @@
     """The earlier attempts of a call.
 
     `excluded` targets are not used again; `penalized` targets answered with a failure
-    and are used again only if no other target is better. `may_have_run` names the
-    targets that may have run the call. `attempts` counts all attempts, and
-    `delivered_attempts` those that may have reached an upstream. `target` names the
+    and are used again only if no other target is better. `runs` holds the targets that
+    may have run the call, by the number of the attempt. `attempts` counts all attempts,
+    and `delivered_attempts` those that may have reached an upstream. `target` names the
     target of the latest attempt. `round_attempts` counts the attempts since the call
     began or was last resumed.
     """
@@ -61,18 +61,28 @@
     def __init__(self):
         self.excluded: set[str] = set()
         self.penalized: set[str] = set()
-        self.may_have_run: set[str] = set()
+        self.runs: dict[int, Target] = {}
         self.delivered_attempts = 0
         self.attempts = 0
         self.target = ""
         self.round_attempts = 0
 
     def start_round(self) -> None:
-        """Begin to resume a stream; targets that may have run it are not used."""
-        self.excluded = set(self.may_have_run)
+        """Begin to resume a stream; replicas that may have run it are not used.
+
+        Hosts that cut it are left out by their own state: they may have been started
+        again since.
+        """
+        self.excluded = {
+            run.name for run in self.runs.values() if run.upstream is not None
+        }
         self.penalized.clear()
         self.round_attempts = 0
 
+    def may_have_run(self, target: Target) -> None:
+        """Record that the target of the latest attempt may have run the call."""
+        self.runs[self.attempts] = target
+
 
 class AttemptPolicy(Protocol):
     """The decisions that differ between calls of sheets and of routes."""
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -228,7 +228,7 @@
         forwarded = forwarded._replace(hops=(*call.hops, local_host.name))
         answer = await self._senders.hosts.send(target.host, forwarded, body)
         history.delivered_attempts += 1
-        history.may_have_run.add(target.name)
+        history.may_have_run(target)
         if is_event_stream(answer.head) and answer.head.status < 300:
             return EventStream(answer, self._resume_function(call, body, history))
         return await buffer_answer(target.name, call, answer)
@@ -266,7 +266,7 @@
         self, target, attempt: PlacedAttempt, call, body, answer, history, started
     ) -> Answer:
         history.delivered_attempts += 1
-        history.may_have_run.add(target.name)
+        history.may_have_run(target)
 
         async def release(is_complete: bool) -> None:
             seconds = self._clock.monotonic() - started
@@ -342,7 +342,7 @@
     def _may_resume(self, call: Call, history: AttemptHistory) -> bool:
         """Return whether another target may run the rest of a stream."""
         return (
-            len(history.may_have_run) < call.route_policy.max_upstreams
+            len(history.runs) < call.route_policy.max_upstreams
             and call.expires > self._clock.monotonic()
         )
 
@@ -396,8 +396,7 @@
         return (
             call.route_policy.repeatable
             and not call.hops
-            and len(history.may_have_run) + planned_attempts
-            < call.route_policy.max_upstreams
+            and len(history.runs) + planned_attempts < call.route_policy.max_upstreams
             and history.round_attempts + planned_attempts < MAX_ATTEMPTS
             and call.expires > now
             and self._budget.allows(
@@ -432,7 +431,7 @@
         if delivered:
             history.delivered_attempts += 1
         if refusal.outcome is Outcome.UNKNOWN:
-            history.may_have_run.add(target.name)
+            history.may_have_run(target)
         if target.upstream is None:
             if refusal.reason is Reason.PEER_UNREACHABLE:
                 now = self._clock.monotonic()
--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -120,7 +120,8 @@
             await self.hosts[-1].start()
         await self.clock.sleep(2)
 
-    def build_host(self, number, zone, log=None, grace="8 s") -> RouteHost:
+    def build_host(self, number, zone, log=None, grace="8 s", seed=None) -> RouteHost:
+        """Return a host; another `seed` gives it another incarnation."""
         text = SETTINGS.format(
             name=f"host-{number}",
             zone=zone,
@@ -134,7 +135,7 @@
         env = RouteEnvironment(
             clock=self.clock,
             network=network,
-            rng=random.Random(number),
+            rng=random.Random(number if seed is None else seed),
             log=log or NullLog(),
             store=StoreClient(cfg.store.address, self.clock, network),
             codec=PlatformDocumentCodec(),
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -123,7 +123,7 @@
         await world.clock.sleep(0.3)
         await world.hosts[0].drain()
         await world.clock.sleep(1.5)
-        world.hosts.append(world.build_host(number, "north-a"))
+        world.hosts.append(world.build_host(number, "north-a", seed=99))
         await world.hosts[-1].start()
         body, ended = await drain_stream(conn)
         self.assertTrue(ended)
