Resume a stream on its last run only where it can end

Cause: the expected time of a call was taken for enough although the route allowed no further run. A host must now stay until the deadline, unless the call may run once more.

Failed before: tests.test_resumed_streams.ResumeTest.test_second_cut.

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -224,7 +224,7 @@
 
     async def _attempt_on_host(self, target, call, body, history) -> Answer:
         local_host = self._routing_state.hosts.local_host
-        forwarded = state_stay(call, self._routing_state)
+        forwarded = state_stay(call, history, self._routing_state)
         forwarded = forwarded._replace(hops=(*call.hops, local_host.name))
         answer = await self._senders.hosts.send(target.host, forwarded, body)
         history.delivered_attempts += 1
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -207,7 +207,7 @@
         would cut off the answer of a caller that is connected elsewhere.
         """
         hosts = self._routing_state.hosts
-        over_at = latest_end(state_stay(call, self._routing_state), now)
+        over_at = latest_end(state_stay(call, history, self._routing_state), now)
         return [
             host
             for host in hosts.reachable(region, now)
@@ -377,16 +377,20 @@
         return cached.regions
 
 
-def state_stay(call: Call, routing_state: RoutingState) -> Call:
+def state_stay(
+    call: Call, history: AttemptHistory, routing_state: RoutingState
+) -> Call:
     """Return a call that states how long a host to which it is forwarded must stay.
 
-    A call that may be repeated continues elsewhere after a cut, so that its expected
+    A call that may run once more continues elsewhere after a cut, so that its expected
     time counts. Any other call may last until its deadline. While the local host is
     being stopped as well, it may have no time left to continue a call.
     """
     hosts, run_seconds = routing_state.hosts, math.inf
     closes_at = hosts.closes_at(hosts.local_host)
-    if math.isinf(closes_at) and call.route_policy.repeatable:
+    policy = call.route_policy
+    may_continue = policy.repeatable and len(history.runs) + 1 < policy.max_upstreams
+    if math.isinf(closes_at) and may_continue:
         times = routing_state.service_times
         run_seconds = times.expected(call.service, call.kind.value) or math.inf
     return call._replace(needed_until=closes_at, run_seconds=run_seconds)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -130,6 +130,40 @@
         self.assertEqual(events(body), [1, 2, 3, 4, 5])
         self.assertEqual(world.runs("c-1"), 2)
 
+    @with_routes(**FAR_REPLICAS)
+    async def test_second_cut(self, world):
+        """Guards against a stream that is resumed on its last run through a host that
+        closes before it is over.
+
+        rolls --seed 12 on atlas-coffre: the stream was cut twice and given up.
+        """
+        for host in world.hosts:
+            host._routing_state.service_times.record("desk", "model", 0.1)
+        for replica in world.replicas:
+            replica.delay = 2.0
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        await world.clock.sleep(0.3)
+        [first] = [h for h in world.hosts[:2] if h.request_tracker.in_flight]
+        [second] = [host for host in world.hosts[:2] if host is not first]
+        busy = await world.open_call(
+            "/stream/chat/1",
+            host=world.hosts.index(second),
+            call_id="busy",
+            deadline_ms=DEADLINE_MS,
+        )
+        drains = [await curio.spawn(first.drain)]
+        await world.clock.sleep(1.5)
+        drains.append(await curio.spawn(second.drain))
+        await world.clock.sleep(7.8)
+        world.hosts.append(world.build_host(3, "north-a"))
+        await world.hosts[-1].start()
+        body, ended = await drain_stream(conn)
+        self.assertTrue(ended)
+        self.assertEqual(events(body), [1, 2, 3, 4, 5])
+        await busy.close()
+        for task in drains:
+            await task.join()
+
     @with_routes(**ONE_FAR_HOST)
     async def test_own_host_closes(self, world):
         """Guards against a stream that waits for a resume after its host has closed."""
