Charge no retry for an offer that reached no replica

By reading, not seen in a play: each offer of a resumed stream was charged to the retry budget of its service, those refused by a stopping host or lost on the way too, although no replica got the request. A stream that waits for a host may be offered several times a second since resumes go on, and would take the budget of other calls. Such a charge is taken back.

Guarded by tests.test_shared_retry_budget test_retry_that_was_not_sent; a test with whole hosts did not show the difference and was left out.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -55,7 +55,8 @@
     may have run the call, by the number of the attempt. `attempts` counts all attempts,
     and `delivered_attempts` those that may have reached an upstream. `target` names the
     target of the latest attempt. `round_attempts` counts the attempts since the call
-    began or was last resumed.
+    began or was last resumed. `charged_at` is when the latest attempt was charged to
+    a retry budget, in monotonic seconds, None if it was not.
     """
 
     def __init__(self):
@@ -66,6 +67,7 @@
         self.attempts = 0
         self.target = ""
         self.round_attempts = 0
+        self.charged_at: float | None = None
 
     def start_round(self) -> None:
         """Begin to resume a stream; replicas that may have run it are not used.
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -61,6 +61,8 @@
 RESUME_INTERVAL_SECONDS = 0.2
 # Refusals that hold for every target.
 FINAL_REASONS = (Reason.RESIDENCY, Reason.CRASHES_UPSTREAM)
+# Refusals of hosts that have sent the call to no replica.
+UNSENT_REASONS = (Reason.DRAINING, Reason.PEER_UNREACHABLE)
 MIN_FAILURE_STATUS = 500
 # Calls of callers that have arrived this long after a drain began are served only if
 # they end in time. It is less than the time for which the host listens, because the
@@ -187,6 +189,7 @@
 
     def _charge_budget(self, call: Call, history: AttemptHistory) -> None:
         """Charge a retry to the retry budget; raise Refusal if it is used up."""
+        history.charged_at = None
         if not history.delivered_attempts:
             return
         now = self._clock.monotonic()
@@ -194,6 +197,7 @@
         if not self._budget.allows(call.service, hosts, now):
             raise not_run_refusal(Reason.OVERLOADED, "the retry budget is used up", 0.5)
         self._budget.record_retry(call.service, now)
+        history.charged_at = now
 
     async def send_attempt(
         self, target: Target, call: Call, body: bytes, history: AttemptHistory
@@ -206,7 +210,7 @@
             return await self._attempt_on_replica(target, attempt, call, body, history)
         except BaseException as exc:
             if isinstance(exc, Refusal):
-                await self._record_refusal(target, exc, history)
+                await self._record_refusal(target, call, exc, history)
                 self._log_failed_attempt(call, target, exc, history)
             await attempt.release()
             raise
@@ -422,7 +426,7 @@
         return self._may_retry_possibly_run(call, history)
 
     async def _record_refusal(
-        self, target: Target, refusal: Refusal, history: AttemptHistory
+        self, target: Target, call: Call, refusal: Refusal, history: AttemptHistory
     ) -> None:
         delivered = refusal.outcome is Outcome.UNKNOWN or refusal.reason in (
             Reason.UPSTREAM_REFUSED,
@@ -430,6 +434,10 @@
         )
         if delivered:
             history.delivered_attempts += 1
+        elif refusal.reason in UNSENT_REASONS and history.charged_at is not None:
+            # Only requests that arrive at a replica count, and a stream that waits for
+            # a host may be offered in vain many times.
+            self._budget.cancel_retry(call.service, history.charged_at)
         if refusal.outcome is Outcome.UNKNOWN:
             history.may_have_run(target)
         if target.upstream is None:
--- a/sassafraskeel/decisions/shared_retry_budget.py
+++ b/sassafraskeel/decisions/shared_retry_budget.py
@@ -37,6 +37,12 @@
         """Count a retry that is sent."""
         self._count(self._retries, service, now)
 
+    def cancel_retry(self, service: str, sent_at: float) -> None:
+        """Take back a retry that reached no upstream; `sent_at` is when it was sent."""
+        times = self._retries.get(service, ())
+        if sent_at in times:
+            times.remove(sent_at)
+
     def _count(self, table, service, now) -> None:
         self._recent(table, service, now).append(now)
 
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -34,3 +34,17 @@
         """Guards against a host that may never retry because it had no traffic."""
         budget = SharedRetryBudget(RATIO, EXTRA, WINDOW)
         self.assertTrue(budget.allows("desk", 7, 0.0))
+
+    def test_retry_that_was_not_sent(self):
+        """Guards against a budget that is used up by offers to hosts that are stopped.
+
+        A stream that waits for a host may be offered many times within a second.
+        """
+        budget = SharedRetryBudget(0.0, 2.0, WINDOW)
+        for step in range(10):
+            self.assertTrue(budget.allows("desk", 1, step * 0.2))
+            budget.record_retry("desk", step * 0.2)
+            budget.cancel_retry("desk", step * 0.2)
+        budget.record_retry("desk", 2.0)
+        budget.cancel_retry("desk", 1.8)
+        self.assertFalse(budget.allows("desk", 1, 2.0))
