Leave resumed streams out of the mean service times

Hosts forward a stream to a stopping host if it stays for the mean time of such streams.

Failed before: tests.test_resumed_streams.ResumeTest test_time_of_the_rest.

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -274,7 +274,9 @@
 
         async def release(is_complete: bool) -> None:
             seconds = self._clock.monotonic() - started
-            await attempt.release(seconds if is_complete else None)
+            # The rest of a stream says nothing of how long whole ones last.
+            is_whole = is_complete and not call.resume_after
+            await attempt.release(seconds if is_whole else None)
 
         if not is_event_stream(answer.head) or answer.head.status >= 300:
             buffered = await buffer_answer(target.name, call, answer)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -130,6 +130,23 @@
         self.assertEqual(events(body), [1, 2, 3, 4, 5])
         self.assertEqual(world.runs("c-1"), 2)
 
+    @with_routes
+    async def test_time_of_the_rest(self, world):
+        """Guards against service times that are too short after many resumes, so that
+        streams are forwarded to hosts that close before their end.
+        """
+        for replica in world.replicas:
+            replica.delay = 0.5
+        times = world.hosts[0]._routing_state.service_times
+        await world.call("/stream/chat/1", "POST")
+        await world.clock.sleep(0.1)
+        expected = times.expected("desk", "model")
+        rest = ((b"last-event-id", b"4"),)
+        await world.call("/stream/chat/1", "POST", call_id="c-2", headers=rest)
+        await world.clock.sleep(0.1)
+        self.assertEqual(world.runs("c-2"), 1)
+        self.assertEqual(times.expected("desk", "model"), expected)
+
     @with_routes(**FAR_REPLICAS)
     async def test_second_cut(self, world):
         """Guards against a stream that is resumed on its last run through a host that
