Give up a resumed stream once

Callers of a host that closes waited for up to 1.1 s more for the end of a stream that had been resumed before, and the host closed as much later, once for each such stream, beyond its grace period. Cause: the answer of a resume is a stream that resumes itself. When its own resume was cancelled, the stream around it took the error for a new cut and began another resume, which nothing cancelled; it also offered the call once more after the host had closed. StreamNotResumed is final for the streams around it.

Failed before: tests.test_resumed_streams_review.CloseTest test_close_during_second_resume (the host took 1.1 s to close).

--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -9,6 +9,7 @@
     ProtocolError,
     Refusal,
     SassafraskeelError,
+    StreamNotResumed,
     UpstreamStalled,
 )
 from sassafraskeel.core.http import find_header
@@ -82,7 +83,8 @@
                 if isinstance(exc, UpstreamStalled) and not self._is_resumable():
                     self._stalling.stall_timeout = None
                     continue
-                if self._resume is None or isinstance(exc, Refusal):
+                # The answer of a resume is an EventStream that resumes itself.
+                if self._resume is None or isinstance(exc, Refusal | StreamNotResumed):
                     raise
                 await self._resume_elsewhere(exc)
                 continue
@@ -137,4 +139,4 @@
             self._answer = await self._resume(self._last_id, exc)
         except Refusal as refusal:
             self._resume = None
-            raise AnswerTruncated(f"{exc}; not resumed: {refusal}") from exc
+            raise StreamNotResumed(f"{exc}; not resumed: {refusal}") from exc
--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -109,6 +109,10 @@
     """An answer ended before its end marker."""
 
 
+class StreamNotResumed(AnswerTruncated):
+    """A truncated stream could not be resumed and must not be tried again."""
+
+
 class UpstreamStalled(SassafraskeelError):
     """An upstream made no progress on an answer within the stall timeout."""
 
