Forward calls to a host that was started after a failed offer

Callers saw a stream wait up to two seconds longer, or given up, although the host that it needed was back. Cause: a host that refused a connection was left out for two seconds by its name. A host that stops closes once its calls have ended, so that offers meet its closed port, and its next incarnation was left out for the rest of the time. The incarnation is left out now, as in the rest of the host table.

Failed before: tests.test_resumed_streams_review.UnreachableHostTest test_host_that_was_unreachable (no second run within 1.2 s of the start).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -445,7 +445,7 @@
         if target.upstream is None:
             if refusal.reason is Reason.PEER_UNREACHABLE:
                 now = self._clock.monotonic()
-                self._routing_state.hosts.mark_unreachable(target.name, now)
+                self._routing_state.hosts.mark_unreachable(target.host, now)
             return
         now = self._clock.monotonic()
         accepts_work = self._routing_state.fleet.accepts_work(target.upstream, now)
--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -86,7 +86,7 @@
         self._view: _View | None = None
         self._draining: dict[HostInfo, float] = {}
         self._rosters: dict[str, _RosterView] = {}
-        self._unreachable_since: dict[str, float] = {}
+        self._unreachable_since: dict[HostInfo, float] = {}
         # Unregistered hosts and when, because a draining host still serves calls.
         self._departed: dict[str, tuple[HostInfo, float]] = {}
 
@@ -238,10 +238,10 @@
         """Return when the drain of a host began, None if it is not known to drain."""
         return self._draining.get(host)
 
-    def mark_unreachable(self, name: str, now: float) -> None:
-        """Record that a host could not be reached with a forwarded call."""
-        self._unreachable_since.pop(name, None)
-        self._unreachable_since[name] = now
+    def mark_unreachable(self, host: HostInfo, now: float) -> None:
+        """Record that an incarnation of a host could not be reached with a call."""
+        self._unreachable_since.pop(host, None)
+        self._unreachable_since[host] = now
         if len(self._unreachable_since) > MAX_UNREACHABLE:
             del self._unreachable_since[next(iter(self._unreachable_since))]
         self.invalidate()
@@ -347,7 +347,7 @@
         )
 
     def _is_reachable(self, host: HostInfo, now: float) -> bool:
-        since = self._unreachable_since.get(host.name, float("-inf"))
+        since = self._unreachable_since.get(host, float("-inf"))
         return now - since >= UNREACHABLE_SECONDS
 
     def _is_stopping(self, host: HostInfo, now: float) -> bool:
--- a/tests/test_resumed_streams_review.py
+++ b/tests/test_resumed_streams_review.py
@@ -2,8 +2,11 @@
 
 from unittest import TestCase
 
+import curio
+
 from tests.support.routes import ROUTES, manifest, with_routes
 from tests.test_resumed_streams import DEADLINE_MS, ONE_FAR_HOST
+from tests.test_route_host import drain_stream
 
 THREE_RUNS = {
     "world_options": ONE_FAR_HOST["world_options"],
@@ -45,3 +48,26 @@
         self.assertLess(world.clock.monotonic() - started_at, 0.1)
         self.assertEqual(world.runs("c-1"), 2)
         await conn.close()
+
+
+class UnreachableHostTest(TestCase):
+    """A host that was unreachable and is started again."""
+
+    @with_routes(**ONE_FAR_HOST)
+    async def test_host_that_was_unreachable(self, world):
+        """Guards against a restarted host that gets no calls for two seconds because
+        its last incarnation could not be reached.
+        """
+        for replica in world.replicas:
+            replica.delay = 2.0
+        conn = await world.open_call("/stream/chat/1", host=1, deadline_ms=DEADLINE_MS)
+        await world.clock.sleep(2.3)
+        reader = await curio.spawn(drain_stream, conn)
+        await world.hosts[0].close()
+        await world.clock.sleep(0.4)
+        self.assertTrue(world.hosts[1].hosts._unreachable_since)
+        await start_far_host(world, 0, seed=99)
+        await world.clock.sleep(1.2)
+        self.assertEqual(world.runs("c-1"), 2)
+        _, ended = await reader.join()
+        self.assertTrue(ended)
