Learn how long the streams of a route last, forwarded ones too

Callers saw streams that were forwarded to a stopping host and cut there, and others refused although the host would have stayed long enough. Cause: the expected time of a call was that of all streams of its service that ran in the local region. A host whose region may not run a route knew only the shorter streams of other routes, or nothing, so that it took the deadline. Such hosts forward all calls of that route.

The host that forwards a call now records the time of each whole answer by route, and uses the mean of the service only until it knows one.

Failed before: tests.test_resumed_streams_review.ExpectedTimeTest test_time_of_another_route (run and cut) and test_time_of_forwarded_streams (refused).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -230,12 +230,28 @@
         local_host = self._routing_state.hosts.local_host
         forwarded = state_stay(call, history, self._routing_state)
         forwarded = forwarded._replace(hops=(*call.hops, local_host.name))
+        started = self._clock.monotonic()
         answer = await self._senders.hosts.send(target.host, forwarded, body)
         history.delivered_attempts += 1
         history.may_have_run(target)
+
+        async def release(is_complete: bool) -> None:
+            if is_complete:
+                self._record_route_time(call, answer, started)
+
         if is_event_stream(answer.head) and answer.head.status < 300:
-            return EventStream(answer, self._resume_function(call, body, history))
-        return await buffer_answer(target.name, call, answer)
+            stream = EventStream(answer, self._resume_function(call, body, history))
+            return ReleasingAnswer(stream, (), release)
+        buffered = await buffer_answer(target.name, call, answer)
+        await release(True)
+        return buffered
+
+    def _record_route_time(self, call: Call, answer: Answer, started: float) -> None:
+        """Record how long a complete answer took; the rest of a stream says nothing."""
+        if answer.head.status < 300 and not call.resume_after:
+            seconds = self._clock.monotonic() - started
+            times, route = self._routing_state.route_times, call.route_policy.route
+            times.record(route, call.kind.value, seconds)
 
     async def _send(self, target: Target, call, body, history):
         replica = target.upstream
@@ -277,6 +293,8 @@
             # The rest of a stream says nothing of how long whole ones last.
             is_whole = is_complete and not call.resume_after
             await attempt.release(seconds if is_whole else None)
+            if is_complete:
+                self._record_route_time(call, answer, started)
 
         if not is_event_stream(answer.head) or answer.head.status >= 300:
             buffered = await buffer_answer(target.name, call, answer)
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -68,8 +68,10 @@
 class RoutingState(NamedTuple):
     """State of replicas and hosts on which placement is based, partly estimated.
 
-    `rate_share` returns the share of a replica's rate that the local host may use while
-    the replica is cold or names a limit, 0 for none.
+    `service_times` says how long calls hold a slot, and `route_times` how long those of
+    a route last, with those that were forwarded. `rate_share` returns the share of a
+    replica's rate that the local host may use while the replica is cold or names a
+    limit, 0 for none.
     """
 
     fleet: Fleet
@@ -79,6 +81,7 @@
     health: Health
     pacer: ColdPacer
     service_times: ServiceTimes
+    route_times: ServiceTimes
     forwards: RecentForwards
     silence_detector: SilenceDetector
     region_loads: RegionLoads
@@ -395,8 +398,7 @@
     hosts, policy = routing_state.hosts, call.route_policy
     closes_at = hosts.closes_at(hosts.local_host)
     run_seconds = math.inf
-    times = routing_state.service_times
-    expected = times.expected(call.service, call.kind.value) or math.inf
+    expected = _expected_seconds(call, routing_state) or math.inf
     may_continue = policy.repeatable and len(history.runs) + 1 < policy.max_upstreams
     if math.isinf(closes_at) and may_continue:
         run_seconds = expected
@@ -405,6 +407,17 @@
     return call._replace(needed_until=closes_at, run_seconds=run_seconds)
 
 
+def _expected_seconds(call: Call, routing_state: RoutingState) -> float:
+    """Return how long a call is expected to last, 0 if nothing is known.
+
+    A service may have routes with short and with long streams, and calls of some routes
+    are never run in the local region.
+    """
+    kind = call.kind.value
+    by_route = routing_state.route_times.expected(call.route_policy.route, kind)
+    return by_route or routing_state.service_times.expected(call.service, kind)
+
+
 def latest_end(call: Call, now: float) -> float:
     """Return until when the host of a forwarded call that starts now must stay."""
     return min(call.expires, call.needed_until, now + call.run_seconds)
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -142,6 +142,7 @@
             Health(RAMP_SECONDS),
             ColdPacer(),
             ServiceTimes(),
+            ServiceTimes(),
             RecentForwards(),
             SilenceDetector(),
             RegionLoads(),
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -192,6 +192,7 @@
             Health(1.0),
             ColdPacer(),
             ServiceTimes(),
+            ServiceTimes(),
             RecentForwards(),
             SilenceDetector(),
             RegionLoads(),
--- a/tests/test_resumed_streams_review.py
+++ b/tests/test_resumed_streams_review.py
@@ -5,8 +5,8 @@
 import curio
 
 from tests.support.routes import ROUTES, manifest, with_routes
-from tests.test_resumed_streams import DEADLINE_MS, ONE_FAR_HOST
-from tests.test_route_host import drain_stream
+from tests.test_resumed_streams import DEADLINE_MS, FAR_REPLICAS, ONE_FAR_HOST
+from tests.test_route_host import drain_stream, events
 
 THREE_RUNS = {
     "world_options": ONE_FAR_HOST["world_options"],
@@ -71,3 +71,54 @@
         self.assertEqual(world.runs("c-1"), 2)
         _, ended = await reader.join()
         self.assertTrue(ended)
+
+
+TWO_ROUTES = {
+    "document": manifest(
+        routes=[
+            dict(r, timeoutMs=30_000, targetLatencyMs=8_000)
+            | ({"homeRegions": ["north"]} if r["name"] == "chats" else {})
+            for r in ROUTES
+        ]
+    )
+}
+
+
+class ExpectedTimeTest(TestCase):
+    """How long streams are expected to last before they are forwarded."""
+
+    @with_routes(**TWO_ROUTES)
+    async def test_time_of_another_route(self, world):
+        """Guards against long streams that are forwarded to a host that stays only
+        for the short streams of another route.
+        """
+        await world.call("/stream/draft/1", "POST", host=2, call_id="draft")
+        for replica in world.replicas:
+            replica.delay = 1.5
+        conn = await world.open_call(
+            "/stream/chat/1", host=2, call_id="first", deadline_ms=DEADLINE_MS
+        )
+        body, _ = await drain_stream(conn)
+        self.assertEqual(events(body), [1, 2, 3, 4, 5])
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(2.0)
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        await drain_stream(conn)
+        self.assertEqual(world.replicas[2].ledger["draft"], 1)
+        self.assertEqual(world.runs("c-1"), 0)
+        for task in drains:
+            await task.join()
+
+    @with_routes(**FAR_REPLICAS)
+    async def test_time_of_forwarded_streams(self, world):
+        """Guards against refusals while a region restarts, by hosts that forward all
+        calls of a route and so know no time of them.
+        """
+        await world.call("/stream/chat/1", "POST", host=2, call_id="first")
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(2.0)
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        body, _ = await drain_stream(conn)
+        self.assertEqual(events(body), [1, 2, 3, 4, 5])
+        for task in drains:
+            await task.join()
