Refuse a forwarded call at once if its host closes too early

A resumed stream waited about a second more. Cause: a closing host that found before the first byte that it no longer stays for a call took the refusal for one of the replica. It tried the call on each other replica, then waited for a further one, and at last refused it because no replica was left, which the host of the caller charged as a retry. Now the host of the caller gets the first refusal and looks elsewhere.

Failed before: tests.test_resumed_streams_review.ClosingHostTest test_refusal_after_the_wait_for_a_slot (no_upstream instead of draining; in a log of tests.test_resumed_streams.OfferTest.test_wait_for_a_slot the refusal came 1.05 s after the first failed check).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -441,6 +441,8 @@
             return False
         if refusal.reason in FINAL_REASONS:
             return False
+        if call.hops and refusal.reason is Reason.DRAINING:
+            return False  # The local host closes, whatever the replica.
         if refusal.outcome is Outcome.NOT_RUN:
             return call.expires > self._clock.monotonic()
         return self._may_retry_possibly_run(call, history)
--- a/tests/test_resumed_streams_review.py
+++ b/tests/test_resumed_streams_review.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from sassafraskeel.core.errors import Reason
 from tests.support.routes import ROUTES, manifest, with_routes
 from tests.test_resumed_streams import DEADLINE_MS, FAR_REPLICAS, ONE_FAR_HOST
 from tests.test_route_host import drain_stream, events
@@ -122,3 +123,44 @@
         self.assertEqual(events(body), [1, 2, 3, 4, 5])
         for task in drains:
             await task.join()
+
+
+class ClosingHostTest(TestCase):
+    """Forwarded calls that a closing host has to refuse."""
+
+    @with_routes(**FAR_REPLICAS)
+    async def test_refusal_after_the_wait_for_a_slot(self, world):
+        """Guards against a call that is kept by a closing host, which tries it on each
+        replica and then waits for another one.
+        """
+        for host in world.hosts:
+            host._routing_state.service_times.record("desk", "model", 1.5)
+        for replica in world.replicas:
+            replica.hang = 1
+            await world.register_replica(replica, slots=1)
+        await world.clock.sleep(1.0)
+        busy = [
+            await world.open_call("/order/1", call_id=name, deadline_ms=DEADLINE_MS)
+            for name in ("busy-0", "busy-1")
+        ]
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(5.0)
+        refusals = []
+        record_refusal = world.hosts[2].dispatcher._record_refusal
+
+        async def record(target, call, refusal, history):
+            refusals.append((refusal.reason, world.clock.monotonic()))
+            await record_refusal(target, call, refusal, history)
+
+        world.hosts[2].dispatcher._record_refusal = record
+        conn = await world.open_call("/stream/chat/1", host=2, deadline_ms=DEADLINE_MS)
+        await world.clock.sleep(1.2)
+        freed_at = world.clock.monotonic()
+        for other in busy:
+            await other.close()
+        await drain_stream(conn)
+        [(reason, refused_at)] = refusals
+        self.assertIs(reason, Reason.DRAINING)
+        self.assertLess(refused_at - freed_at, 0.2)
+        for task in drains:
+            await task.join()
