Say in the refusal of a closing host that a replica got the call

A retry whose request a replica had got and rejected was taken back from the retry budget, or never charged, so that more requests than the budget allows could reach the replicas of a service around stops. Cause: a host that closes after a replica rejected a forwarded call refuses it as draining, which the host of the caller reads as an offer that reached no replica. The refusal now has the reason of a rejection.

Failed before: tests.test_resumed_streams_review ClosingHostTest.test_refusal_after_a_rejection (draining).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -174,7 +174,17 @@
         if not call.hops:
             self._budget.record_call(call.service, self._clock.monotonic())
         call = call._replace(fingerprint=self._hasher.fingerprint(call, body))
-        return await run_attempts(self, call, body, AttemptHistory())
+        history = AttemptHistory()
+        try:
+            return await run_attempts(self, call, body, history)
+        except Refusal as refusal:
+            is_delivered = call.hops and history.delivered_attempts
+            if is_delivered and refusal.reason is Reason.DRAINING:
+                # The host of the caller counts the requests that reached a replica.
+                raise not_run_refusal(
+                    Reason.UPSTREAM_REFUSED, refusal.detail, refusal.retry_after
+                ) from refusal
+            raise
 
     async def find_target(
         self, call: Call, body: bytes, history: AttemptHistory
--- a/tests/test_resumed_streams_review.py
+++ b/tests/test_resumed_streams_review.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from sassafraskeel.calls.request_tracker import draining_refusal
 from sassafraskeel.core.errors import Reason
 from tests.support.routes import ROUTES, manifest, with_routes
 from tests.test_resumed_streams import DEADLINE_MS, FAR_REPLICAS, ONE_FAR_HOST
@@ -164,3 +165,32 @@
         self.assertLess(refused_at - freed_at, 0.2)
         for task in drains:
             await task.join()
+
+    @with_routes(**FAR_REPLICAS)
+    async def test_refusal_after_a_rejection(self, world):
+        """Guards against a retry that is taken back from the retry budget although a
+        replica got and rejected the request.
+        """
+        for replica in world.replicas:
+            replica.refuse = 1
+        for host in world.hosts[:2]:
+            send, attempts = host.dispatcher._senders.replicas.send, []
+
+            async def send_once(*args, send=send, attempts=attempts):
+                attempts.append(args)
+                if len(attempts) > 1:
+                    raise draining_refusal()
+                return await send(*args)
+
+            host.dispatcher._senders.replicas.send = send_once
+        refusals = []
+        record_refusal = world.hosts[2].dispatcher._record_refusal
+
+        async def record(target, call, refusal, history):
+            refusals.append(refusal.reason)
+            await record_refusal(target, call, refusal, history)
+
+        world.hosts[2].dispatcher._record_refusal = record
+        await world.call("/stream/chat/1", "POST", host=2)
+        self.assertGreaterEqual(sum(r.arrivals for r in world.replicas), 1)
+        self.assertIs(refusals[0], Reason.UPSTREAM_REFUSED)
