Take no slot for a resume that the retry budget forbids

A stream that waits to be resumed takes slots, places in cold starts and requests of limited replicas from other calls while the retry budget of its service is used up: the budget was asked only once a slot was taken, five times a second and up to the deadline of the call. A resume now asks the budget first, and again before the request is sent.

Failed before: tests.test_resumed_streams_review BudgetTest.test_slots_without_budget (25 slots taken within 5 s).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -202,12 +202,17 @@
         history.charged_at = None
         if not history.delivered_attempts:
             return
+        self._check_budget(call)
+        now = self._clock.monotonic()
+        self._budget.record_retry(call.service, now)
+        history.charged_at = now
+
+    def _check_budget(self, call: Call) -> None:
+        """Raise Refusal if the retry budget allows no retry."""
         now = self._clock.monotonic()
         hosts = self._routing_state.hosts.count(now)
         if not self._budget.allows(call.service, hosts, now):
             raise not_run_refusal(Reason.OVERLOADED, "the retry budget is used up", 0.5)
-        self._budget.record_retry(call.service, now)
-        history.charged_at = now
 
     async def send_attempt(
         self, target: Target, call: Call, body: bytes, history: AttemptHistory
@@ -363,6 +368,7 @@
                 Reason.UPSTREAM_FAILED, "no further attempt is allowed"
             )
         history.start_round()
+        self._check_budget(call)
         now = self._clock.monotonic()
         call = call._replace(queue_deadline=now + RESUME_TIMEOUT_SECONDS)
         answer = await run_attempts(self, call, body, history)
--- a/tests/test_resumed_streams_review.py
+++ b/tests/test_resumed_streams_review.py
@@ -194,3 +194,29 @@
         await world.call("/stream/chat/1", "POST", host=2)
         self.assertGreaterEqual(sum(r.arrivals for r in world.replicas), 1)
         self.assertIs(refusals[0], Reason.UPSTREAM_REFUSED)
+
+
+class BudgetTest(TestCase):
+    """Streams that are resumed while the retry budget is used up."""
+
+    @with_routes
+    async def test_slots_without_budget(self, world):
+        """Guards against a stream that takes slots and limits from other calls while it
+        may not be sent.
+        """
+        for replica in world.replicas:
+            replica.crash_after = 2
+        dispatcher = world.hosts[0].dispatcher
+        conn = await world.open_call("/stream/chat/1")
+        await world.clock.sleep(0.03)
+        dispatcher._budget.allows = lambda *args: False
+        targets, find_target = [], dispatcher._placement.find_target
+
+        async def find(call, history):
+            targets.append(await find_target(call, history))
+            return targets[-1]
+
+        dispatcher._placement.find_target = find
+        _, ended = await drain_stream(conn)
+        self.assertFalse(ended)
+        self.assertEqual(targets, [])
