Forward reads by their expected time on routes with one attempt

Since a call on its last run was forwarded only to hosts that stay until its deadline. On a route with one attempt that held for each read, so that callers were refused while a region restarted, although reads take milliseconds. A read that is cut gets an answer, unlike a stream. Found by review. The check right before the first byte also refuses again once the local host has closed, which a sender's close before that had hidden.

Failed before: tests.test_resumed_streams.OfferTest test_read_on_a_route_with_one_attempt (503).

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -279,7 +279,7 @@
         def check():
             now = self._clock.monotonic()
             hosts = self._routing_state.hosts
-            over_at = latest_end(call, now) if call.hops else now
+            over_at = max(now, latest_end(call, now)) if call.hops else now
             if over_at >= hosts.closes_at(hosts.local_host):
                 # The call has waited for a slot, or for the calls that end with the
                 # host.
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from sassafraskeel.calls.attempts import AttemptHistory
-from sassafraskeel.core.types import Call, HostInfo
+from sassafraskeel.core.types import Call, CallKind, HostInfo
 from sassafraskeel.decisions.call_costs import CallCosts, call_cost
 from sassafraskeel.decisions.estimates import ServiceTimes
 from sassafraskeel.decisions.fleet import Fleet, Replica
@@ -400,7 +400,9 @@
     run_seconds = math.inf
     expected = _expected_seconds(call, routing_state) or math.inf
     may_continue = policy.repeatable and len(history.runs) + 1 < policy.max_upstreams
-    if math.isinf(closes_at) and may_continue:
+    # A read is buffered before it is answered, so that its caller learns of a cut.
+    is_read = call.kind is CallKind.READ and policy.repeatable
+    if math.isinf(closes_at) and (may_continue or is_read):
         run_seconds = expected
     elif history.rounds > 1:
         run_seconds = LAST_RUN_MARGIN * expected
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -65,6 +65,24 @@
         for task in drains:
             await task.join()
 
+    @with_routes(
+        world_options=FAR_REPLICAS["world_options"],
+        document=manifest(
+            routes=[dict(r, attempts=1, timeoutMs=9_000) for r in ROUTES]
+        ),
+    )
+    async def test_read_on_a_route_with_one_attempt(self, world):
+        """Guards against reads that are refused because they might last until their
+        deadline, although they take a few milliseconds.
+        """
+        await world.call("/read/stock", host=2, call_id="first")
+        drains = [await curio.spawn(world.hosts[n].drain) for n in (0, 1)]
+        await world.clock.sleep(2.0)
+        head, _ = await world.call("/read/stock", host=2, deadline_ms=9_000)
+        self.assertEqual(head.status, 200)
+        for task in drains:
+            await task.join()
+
     @with_routes(**FAR_REPLICAS)
     async def test_wait_for_a_slot(self, world):
         """Guards against a call that waits in the queue of a draining host for so long
