Log the era of the store, and when the store was restored

Events 401, 402, 404 and 407 name a revision, and after a restore the same number stands for two points in time. They now have the era that the store names in its answers, and event 411 tells that a host read a restored store. No decision uses the era yet.

--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -89,6 +89,7 @@
     HOST_REGISTERED = EventSpec(408, Level.INFO, "host registered in the store")
     LEASE_ENDED = EventSpec(409, Level.WARNING, "host lease ended")
     HOST_LISTED = EventSpec(410, Level.INFO, "host registration changed")
+    STORE_RESTORED = EventSpec(411, Level.WARNING, "store was restored from a copy")
     PEER_CONNECTED = EventSpec(501, Level.INFO, "control link opened")
     PEER_LOST = EventSpec(502, Level.WARNING, "control link lost")
     PEER_REJECTED = EventSpec(503, Level.WARNING, "peer connection rejected")
--- a/sassafraskeel/platform/store_client.py
+++ b/sassafraskeel/platform/store_client.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+import re
 from urllib.parse import quote, urlencode
 
 from sassafraskeel.core.clock import Clock
@@ -17,6 +18,8 @@
 )
 from sassafraskeel.core.http_client import ClientConnection, connect
 from sassafraskeel.core.net import Address, Network
+from sassafraskeel.core.types import ResponseHead
+from sassafraskeel.platform import wire
 from sassafraskeel.store.interface import Change, ChangeBatch
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -25,17 +28,23 @@
 CALL_TIMEOUT_SECONDS = 1.5
 # A silent connection is detected after the time of the watch plus this time.
 WATCH_GRACE_SECONDS = 1.0
+ERA_NUMBER = re.compile(r"[0-9]{1,15}")
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
 class StoreClient:
-    """Implements Store; concurrent calls use separate connections."""
+    """Implements Store; concurrent calls use separate connections.
+
+    An answer without an era counts as of the last era that was named, 0 before the
+    first one.
+    """
 
     def __init__(self, address: Address, clock: Clock, network: Network):
         self._address = address
         self._clock = clock
         self._network = network
         self._idle_connections: list[ClientConnection] = []
+        self._era = 0
 
     async def read_all(self) -> ChangeBatch:
         changes: list[Change] = []
@@ -49,7 +58,7 @@
             changes += items
             more = bool(answer.get("hasMore")) and bool(items)
             after = items[-1].key if items else ""
-        return ChangeBatch(tuple(changes), revision)
+        return ChangeBatch(tuple(changes), revision, self._era)
 
     async def watch(self, after: int, seconds: float) -> ChangeBatch:
         query = {"pathPrefix": "", "after": after, "waitMs": int(seconds * 1000)}
@@ -61,7 +70,7 @@
                 raise HistoryLost(after) from exc
             raise
         events = tuple(_decode_change(item) for item in _get_list(answer, "events"))
-        return ChangeBatch(events, _get_int(answer, "asOf"))
+        return ChangeBatch(events, _get_int(answer, "asOf"), self._era)
 
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
         entry = {"key": key, "value": base64.b64encode(value).decode()}
@@ -106,9 +115,11 @@
         data = b"" if body is None else json.dumps(body).encode()
         try:
             async with self._clock.timeout(CALL_TIMEOUT_SECONDS + wait):
-                status, answer = await self._exchange(method, path, data)
+                head, answer = await self._exchange(method, path, data)
+            self._era = _read_era(head, self._era)
         except SassafraskeelError as exc:
             raise PlatformUnavailable(f"{method} {path}: {exc}") from exc
+        status = head.status
         if status in (429, 500, 502, 503, 504):
             raise PlatformUnavailable(f"{method} {path}: status {status}")
         if status != 200:
@@ -121,7 +132,7 @@
             raise PlatformUnavailable(f"{method} {path}: not an object")
         return content
 
-    async def _exchange(self, method, path, data) -> tuple[int, bytes]:
+    async def _exchange(self, method, path, data) -> tuple[ResponseHead, bytes]:
         conn = self._idle_connections.pop() if self._idle_connections else None
         while conn is not None and not await conn.is_open_and_idle(self._clock):
             await conn.close()
@@ -149,7 +160,18 @@
                 self._idle_connections.append(conn)
             else:
                 await conn.close()
-        return head.status, b"".join(chunks)
+        return head, b"".join(chunks)
+
+
+def _read_era(head: ResponseHead, last: int) -> int:
+    """Return the era that an answer names, `last` if it names none."""
+    values = {value for name, value in head.headers if name == wire.STORE_ERA}
+    if not values:
+        return last
+    text = values.pop().decode("latin-1").strip()
+    if values or not ERA_NUMBER.fullmatch(text):
+        raise ProtocolError("the era of the store is malformed")
+    return int(text)
 
 
 def _decode_change(item) -> Change:
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -23,6 +23,8 @@
 REQUEST_LIMIT = b"server-limit"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
+# How often the store was restored from a copy; it is in all answers of the store.
+STORE_ERA = b"store-era"
 
 # Headers of requests to replicas that only the gateway may set; those of a caller
 # are removed.
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -67,6 +67,7 @@
         self._log = log
         self._on_change = on_change
         self._revision = 0
+        self._era = 0
         self._unavailable = False
         self.feed = ChangeFeed(clock)
         self.answered_at: float | None = None
@@ -85,7 +86,9 @@
                     await self._watch()
                 backoff = RETRY_MIN_SECONDS
             except HistoryLost:
-                self._log.emit(Event.HISTORY_LOST, revision=self._revision)
+                self._log.emit(
+                    Event.HISTORY_LOST, era=self._era, revision=self._revision
+                )
                 resync = True
             except (PlatformUnavailable, PlatformRefused) as exc:
                 self._mark_unavailable(exc)
@@ -94,6 +97,7 @@
 
     async def _read_all(self) -> None:
         batch = await self._store.read_all()
+        self._record_era(batch)
         self._record_answer()
         now = self._clock.monotonic()
         replicas, hosts, zones, crash_tables = set(), set(), set(), set()
@@ -154,6 +158,7 @@
                 self._log.emit(
                     Event.MANIFEST_INSTALLED,
                     version=update.manifest.version,
+                    era=self._era,
                     revision=change.revision,
                     routes=len(update.manifest.routes),
                 )
@@ -213,6 +218,19 @@
             revision=change.revision,
         )
 
+    def _record_era(self, batch: ChangeBatch) -> None:
+        if batch.era == self._era:
+            return
+        if self._revision:
+            self._log.emit(
+                Event.STORE_RESTORED,
+                era=batch.era,
+                revision=batch.revision,
+                previous_era=self._era,
+                previous_revision=self._revision,
+            )
+        self._era = batch.era
+
     def _record_answer(self) -> None:
         now = self._clock.monotonic()
         self.answered_at = now
@@ -220,12 +238,15 @@
         self._hosts.store_answered(now)
         if self._unavailable:
             self._unavailable = False
-            self._log.emit(Event.PLATFORM_UP, revision=self._revision)
+            self._log.emit(Event.PLATFORM_UP, era=self._era, revision=self._revision)
 
     def _mark_unavailable(self, exc) -> None:
         self._fleet.store_unreachable(self._clock.monotonic())
         if not self._unavailable:
             self._unavailable = True
             self._log.emit(
-                Event.PLATFORM_DOWN, detail=str(exc), revision=self._revision
+                Event.PLATFORM_DOWN,
+                detail=str(exc),
+                era=self._era,
+                revision=self._revision,
             )
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -12,10 +12,14 @@
 
 
 class ChangeBatch(NamedTuple):
-    """Changes, and the revision of the store up to which they are complete."""
+    """Changes, and the revision of the store up to which they are complete.
+
+    `era` rises when the store is restored from a copy.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 class Store(Protocol):
