Let the emulated store be restored from a copy

`copy` and `restore` lose what was written since: the era rises, revisions and lease ids are given out again, newer leases are gone, and a watch from a revision that the store does not have gets 410. Answers have Store-Era.

--- a/sassafraskeel/emulators/store.py
+++ b/sassafraskeel/emulators/store.py
@@ -1,7 +1,7 @@
 """Emulated metadata store of the platform, with revisions, watches and leases."""
 
 import base64
-import itertools
+from typing import NamedTuple
 
 import curio
 
@@ -14,11 +14,25 @@
 PROTECTED_PREFIXES = ("op/", "servers/")
 # Path at which tests write as the operator or a replica; faults do not apply to it.
 OPERATOR_PATH = "/test/key"
+ERA_HEADER = b"Store-Era"
+FIRST_LEASE = 1000
+
+
+class StoreCopy(NamedTuple):
+    """A copy from which the store can be restored."""
+
+    items: dict[str, dict]
+    events: list[dict]
+    lease_seconds: dict[int, float]
+    next_lease: int
+    revision: int
 
 
 class StoreEmulator:
     """Keeps keys with revisions; tests write as operator or replica with `write`.
 
+    `era` is sent with every answer, unless it is None; `restore` raises it.
+
     Faults: `error_status`, if not 0, is the status of every answer; `silent` leaves
     every call without an answer; `lose_answers` counts the next writes that are
     applied but not answered.
@@ -32,8 +46,9 @@
         self._compacted_revision = 0
         self._leases: dict[int, float] = {}
         self._lease_seconds: dict[int, float] = {}
-        self._lease_ids = itertools.count(1000)
+        self._next_lease = FIRST_LEASE
         self._changed = curio.Event()
+        self.era: int | None = 1
         self.revision = 1
         self.error_status = 0
         self.silent = False
@@ -79,6 +94,33 @@
         self._events.clear()
         await self._changed.set()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            dict(self._items),
+            list(self._events),
+            {lease: self._lease_seconds[lease] for lease in self._leases},
+            self._next_lease,
+            self.revision,
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy was made.
+
+        Revisions and lease ids are given out again; the leases in the copy start anew.
+        """
+        now = self._clock.monotonic()
+        self._items, self._events = dict(copy.items), list(copy.events)
+        self._lease_seconds = dict(copy.lease_seconds)
+        self._leases = {
+            lease: now + seconds for lease, seconds in copy.lease_seconds.items()
+        }
+        self._next_lease, self.revision = copy.next_lease, copy.revision
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        if self.era is not None:
+            self.era += 1
+        await self._changed.set()
+
     def keys(self) -> set[str]:
         """Return the keys that exist."""
         return set(self._items)
@@ -90,6 +132,13 @@
 
     async def handle(self, request: Request) -> Reply:
         """Answer one call."""
+        reply = await self._answer(request)
+        if self.era is None:
+            return reply
+        era = (ERA_HEADER, str(self.era).encode())
+        return reply._replace(headers=(*reply.headers, era))
+
+    async def _answer(self, request: Request) -> Reply:
         if request.path == OPERATOR_PATH:
             removes = request.method == "DELETE"
             await self.write(request.query["key"], None if removes else request.body)
@@ -120,7 +169,7 @@
         after = int(request.query["after"])
         expires = self._clock.monotonic() + int(request.query["waitMs"]) / 1000
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return json_reply({"error": "compacted"}, 410)
             events = [event for event in self._events if event["revision"] > after]
             remaining = expires - self._clock.monotonic()
@@ -159,7 +208,8 @@
 
     async def _handle_lease(self, request) -> Reply:
         if request.path == "/api/kv-lease":
-            lease, ttl_ms = next(self._lease_ids), request.json()["ttlMs"]
+            lease, ttl_ms = self._next_lease, request.json()["ttlMs"]
+            self._next_lease += 1
             self._lease_seconds[lease] = ttl_ms / 1000
             self._leases[lease] = self._clock.monotonic() + ttl_ms / 1000
             return json_reply({"lease": lease, "ttlMs": ttl_ms})
