Name points in the store's history by era and revision

Hosts kept the highest revision that they had seen, so that the watch after a restore waited for numbers of the old history, and what the restored store wrote below them was never asked for.

StoreRevision orders era and number together, and all that had a revision has one: changes, batches, watches, the feed between hosts and log lines. A watch that is answered in another era means that the store is read again, also where the restored store has passed the old number and nothing answers 410. The pages of a list are of one era, an answer of an older era than the last one counts as lost, a feed of an older era is refused and a follower of one reads the store again. A store that names no era works as before.

--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -139,13 +139,12 @@
 
 
 class HistoryLost(SassafraskeelError):
-    """The store no longer has the changes after a revision."""
+    """The store no longer has the changes after a revision of an era."""
 
-    def __init__(self, revision: int):
+    def __init__(self, era: int, number: int):
         super().__init__(
-            f"the store no longer has the changes after revision {revision}"
+            f"the store no longer has the changes after revision {number} of era {era}"
         )
-        self.revision = revision
 
 
 class MalformedDocument(SassafraskeelError):
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -108,8 +108,7 @@
     67: Placed,
     68: CallProgress,
     69: LinkClosing,
-    70: FeedRequest,
-    71: FeedChanges,
+    # 70 and 71 were FeedRequest and FeedChanges without the era of the store.
     # 72 and 73 were heartbeats without the limits that replicas named.
     74: ReplicaReservation,
     75: ReservationReply,
@@ -118,6 +117,8 @@
     78: RouteHeartbeatReply,
     # 80 was DrainNotice without the capacity of the host.
     81: DrainNotice,
+    82: FeedRequest,
+    83: FeedChanges,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -283,20 +283,24 @@
 class FeedRequest(NamedTuple):
     """Requests the changes of the store after a revision, as soon as there are some.
 
+    `after` is a revision of `era`.
+
     It is answered by FeedChanges, or by Refuse if the receiver does not follow the
-    store itself or no longer has these changes.
+    store itself, no longer has these changes or knows another era.
     """
 
+    era: int
     after: int
 
 
 class FeedChanges(NamedTuple):
-    """Changes of the store up to `revision`.
+    """Changes of the store up to `revision`, all of one `era`.
 
     A row of `changes` holds a key, its value as bytes or None, and the revision of the
     change. `age` is the age of the store's last answer to the sender in seconds.
     """
 
+    era: int
     changes: list
     revision: int
     age: float
--- a/sassafraskeel/gateways/store_feed.py
+++ b/sassafraskeel/gateways/store_feed.py
@@ -5,6 +5,7 @@
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     HistoryLost,
+    PlatformUnavailable,
     ProtocolError,
     Reason,
     SassafraskeelError,
@@ -18,7 +19,7 @@
 from sassafraskeel.gateways.forwarding import refusal_to_message
 from sassafraskeel.gateways.messages import FeedChanges, FeedRequest, Refuse
 from sassafraskeel.store.feed import ChangeFeed
-from sassafraskeel.store.interface import Change, ChangeBatch, Store
+from sassafraskeel.store.interface import Change, ChangeBatch, Store, StoreRevision
 
 # A request without changes is answered after this time, which shows that the feed
 # works.
@@ -66,7 +67,7 @@
     async def read_all(self) -> ChangeBatch:
         return await self._store.read_all()
 
-    async def watch(self, after: int, seconds: float) -> ChangeBatch:
+    async def watch(self, after: StoreRevision, seconds: float) -> ChangeBatch:
         link = None
         if self._clock.monotonic() >= self._direct_until:
             link = self._coordinator_link()
@@ -80,13 +81,15 @@
                 self._log.emit(Event.FEED_LOST, peer=link.peer.name, detail=str(exc))
             else:
                 if self._follows_directly:
-                    self._log.emit(Event.FEED_USED, peer=link.peer.name, after=after)
+                    self._log.emit(
+                        Event.FEED_USED, peer=link.peer.name, **after.log_fields()
+                    )
                 self._follows_directly = False
                 return batch
         self._follows_directly = True
         return await self._store.watch(after, seconds)
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    async def put(self, key: str, value: bytes, lease: int = 0) -> StoreRevision:
         return await self._store.put(key, value, lease)
 
     async def grant_lease(self, seconds: float) -> int:
@@ -98,17 +101,20 @@
     async def revoke_lease(self, lease: int) -> None:
         await self._store.revoke_lease(lease)
 
-    async def _watch_feed(self, link: ControlLink, after: int) -> ChangeBatch:
-        reply = await link.request(FeedRequest(after), FEED_TIMEOUT_SECONDS)
+    async def _watch_feed(self, link: ControlLink, after: StoreRevision) -> ChangeBatch:
+        reply = await link.request(FeedRequest(*after), FEED_TIMEOUT_SECONDS)
         if isinstance(reply, Refuse):
             if reply.detail == HISTORY_LOST_DETAIL:
-                raise HistoryLost(after)
+                raise HistoryLost(*after)
             raise ProtocolError(f"the feed was refused: {reply.detail}")
         if not isinstance(reply, FeedChanges):
             raise ProtocolError("the reply to a feed request is not valid")
+        if reply.era != after.era:
+            raise ProtocolError(f"the feed is of era {reply.era} of the store")
         if reply.age > MAX_FEED_AGE_SECONDS:
             raise ProtocolError(f"the feed is {reply.age:.1f} s old")
-        return ChangeBatch(decode_changes(reply.changes), reply.revision)
+        changes = decode_changes(reply.changes, reply.era)
+        return ChangeBatch(changes, StoreRevision(reply.era, reply.revision))
 
 
 class FeedServer:
@@ -134,12 +140,17 @@
         if not self._store.follows_directly or age is None:
             return _refuse("this host does not follow the store")
         try:
-            batch = await self._feed.wait(request.after, FEED_WAIT_SECONDS)
+            after = StoreRevision(request.era, request.after)
+            batch = await self._feed.wait(after, FEED_WAIT_SECONDS)
         except HistoryLost:
             return _refuse(HISTORY_LOST_DETAIL)
-        changes, revision = limit_batch(batch)
-        rows = [list(change) for change in changes]
-        return FeedChanges(rows, revision, self._store_age() or 0.0)
+        except PlatformUnavailable as exc:
+            return _refuse(str(exc))
+        changes, (era, number) = limit_batch(batch)
+        rows = [
+            [change.key, change.value, change.revision.number] for change in changes
+        ]
+        return FeedChanges(era, rows, number, self._store_age() or 0.0)
 
 
 def limit_batch(batch: ChangeBatch) -> ChangeBatch:
@@ -155,17 +166,21 @@
     return batch
 
 
-def decode_changes(rows: list) -> tuple[Change, ...]:
-    """Return the changes in a feed message; raise ProtocolError."""
+def decode_changes(rows: list, era: int) -> tuple[Change, ...]:
+    """Return the changes of an era in a feed message; raise ProtocolError."""
     changes = []
     for row in rows:
         if not isinstance(row, list) or len(row) != len(Change._fields):
             raise ProtocolError("a change in a feed is malformed")
-        key, value, revision = row
+        key, value, number = row
         if value is not None:
             value = decode_field(value, bytes)
         changes.append(
-            Change(decode_field(key, str), value, decode_field(revision, int))
+            Change(
+                decode_field(key, str),
+                value,
+                StoreRevision(era, decode_field(number, int)),
+            )
         )
     return tuple(changes)
 
--- a/sassafraskeel/platform/store_client.py
+++ b/sassafraskeel/platform/store_client.py
@@ -4,6 +4,7 @@
 import binascii
 import json
 import re
+from typing import NamedTuple
 from urllib.parse import quote, urlencode
 
 from sassafraskeel.core.clock import Clock
@@ -20,7 +21,7 @@
 from sassafraskeel.core.net import Address, Network
 from sassafraskeel.core.types import ResponseHead
 from sassafraskeel.platform import wire
-from sassafraskeel.store.interface import Change, ChangeBatch
+from sassafraskeel.store.interface import Change, ChangeBatch, StoreRevision
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 2
@@ -32,11 +33,25 @@
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
+class _Answer(NamedTuple):
+    era: int
+    content: dict
+
+    def revision(self, name: str) -> StoreRevision:
+        """Return a revision in the answer."""
+        return StoreRevision(self.era, _get_int(self.content, name))
+
+    def changes(self, name: str) -> tuple[Change, ...]:
+        """Return a list of items in the answer as changes."""
+        items = _get_list(self.content, name)
+        return tuple(_decode_change(item, self.era) for item in items)
+
+
 class StoreClient:
     """Implements Store; concurrent calls use separate connections.
 
     An answer without an era counts as of the last era that was named, 0 before the
-    first one.
+    first one. Answers of older eras count as lost.
     """
 
     def __init__(self, address: Address, clock: Clock, network: Network):
@@ -48,37 +63,41 @@
 
     async def read_all(self) -> ChangeBatch:
         changes: list[Change] = []
-        revision, after, more = 0, "", True
+        revision, after, more = None, "", True
         while more:
             query = {"pathPrefix": ""} | ({"after": after} if after else {})
             answer = await self._call("GET", f"/api/kv-range?{urlencode(query)}")
-            items = [_decode_change(item) for item in _get_list(answer, "items")]
+            items = answer.changes("items")
             # The pages are not one snapshot: watch from the revision of the first.
-            revision = revision or _get_int(answer, "asOf")
+            revision = revision or answer.revision("asOf")
+            if answer.era != revision.era:
+                raise PlatformUnavailable("the store was restored between two pages")
             changes += items
-            more = bool(answer.get("hasMore")) and bool(items)
+            more = bool(answer.content.get("hasMore")) and bool(items)
             after = items[-1].key if items else ""
-        return ChangeBatch(tuple(changes), revision, self._era)
+        return ChangeBatch(tuple(changes), revision)
 
-    async def watch(self, after: int, seconds: float) -> ChangeBatch:
-        query = {"pathPrefix": "", "after": after, "waitMs": int(seconds * 1000)}
+    async def watch(self, after: StoreRevision, seconds: float) -> ChangeBatch:
+        wait_ms = int(seconds * 1000)
+        query = {"pathPrefix": "", "after": after.number, "waitMs": wait_ms}
         path = f"/api/kv-watch?{urlencode(query)}"
         try:
             answer = await self._call("GET", path, wait=seconds + WATCH_GRACE_SECONDS)
         except PlatformRefused as exc:
             if exc.status == 410:
-                raise HistoryLost(after) from exc
+                raise HistoryLost(*after) from exc
             raise
-        events = tuple(_decode_change(item) for item in _get_list(answer, "events"))
-        return ChangeBatch(events, _get_int(answer, "asOf"), self._era)
+        if answer.era != after.era:
+            raise HistoryLost(*after)
+        return ChangeBatch(answer.changes("events"), answer.revision("asOf"))
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    async def put(self, key: str, value: bytes, lease: int = 0) -> StoreRevision:
         entry = {"key": key, "value": base64.b64encode(value).decode()}
         if lease:
             entry["lease"] = lease
         body = {"expectedRev": [], "puts": [entry], "remove": []}
         try:
-            return _get_int(await self._call("POST", "/api/kv-txn", body), "revision")
+            return (await self._call("POST", "/api/kv-txn", body)).revision("revision")
         except PlatformRefused as exc:
             if exc.status == 404:
                 raise LeaseLost(str(lease)) from exc
@@ -88,7 +107,8 @@
 
     async def grant_lease(self, seconds: float) -> int:
         body = {"ttlMs": int(seconds * 1000)}
-        return _get_int(await self._call("POST", "/api/kv-lease", body), "lease")
+        answer = await self._call("POST", "/api/kv-lease", body)
+        return _get_int(answer.content, "lease")
 
     async def renew_lease(self, lease: int) -> None:
         await self._call_lease("POST", f"/api/kv-keep/{quote(str(lease))}", lease)
@@ -111,12 +131,12 @@
                 raise LeaseLost(str(lease)) from exc
             raise
 
-    async def _call(self, method, path, body=None, wait=0.0) -> dict:
+    async def _call(self, method, path, body=None, wait=0.0) -> _Answer:
         data = b"" if body is None else json.dumps(body).encode()
         try:
             async with self._clock.timeout(CALL_TIMEOUT_SECONDS + wait):
                 head, answer = await self._exchange(method, path, data)
-            self._era = _read_era(head, self._era)
+            era = self._era = self._check_era(head)
         except SassafraskeelError as exc:
             raise PlatformUnavailable(f"{method} {path}: {exc}") from exc
         status = head.status
@@ -130,7 +150,19 @@
             raise PlatformUnavailable(f"{method} {path}: not JSON") from exc
         if not isinstance(content, dict):
             raise PlatformUnavailable(f"{method} {path}: not an object")
-        return content
+        return _Answer(era, content)
+
+    def _check_era(self, head: ResponseHead) -> int:
+        """Return the era of an answer; raise ProtocolError."""
+        values = {value for name, value in head.headers if name == wire.STORE_ERA}
+        if not values:
+            return self._era
+        text = values.pop().decode("latin-1").strip()
+        if values or not ERA_NUMBER.fullmatch(text):
+            raise ProtocolError("the era of the store is malformed")
+        if int(text) < self._era:
+            raise ProtocolError(f"an answer of era {text} came after era {self._era}")
+        return int(text)
 
     async def _exchange(self, method, path, data) -> tuple[ResponseHead, bytes]:
         conn = self._idle_connections.pop() if self._idle_connections else None
@@ -163,20 +195,9 @@
         return head, b"".join(chunks)
 
 
-def _read_era(head: ResponseHead, last: int) -> int:
-    """Return the era that an answer names, `last` if it names none."""
-    values = {value for name, value in head.headers if name == wire.STORE_ERA}
-    if not values:
-        return last
-    text = values.pop().decode("latin-1").strip()
-    if values or not ERA_NUMBER.fullmatch(text):
-        raise ProtocolError("the era of the store is malformed")
-    return int(text)
-
-
-def _decode_change(item) -> Change:
+def _decode_change(item, era: int) -> Change:
     try:
-        key, revision = str(item["key"]), int(item["revision"])
+        key, revision = str(item["key"]), StoreRevision(era, int(item["revision"]))
         if item.get("removed"):
             return Change(key, None, revision)
         return Change(key, base64.b64decode(item.get("value") or ""), revision)
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -15,7 +15,12 @@
 from sassafraskeel.decisions.fleet import Fleet
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.store.feed import ChangeFeed
-from sassafraskeel.store.interface import Change, ChangeBatch, Store
+from sassafraskeel.store.interface import (
+    UNREAD,
+    Change,
+    Store,
+    StoreRevision,
+)
 from sassafraskeel.store.updates import (
     CrashTableListed,
     CrashTableRemoved,
@@ -66,8 +71,7 @@
         self._clock = clock
         self._log = log
         self._on_change = on_change
-        self._revision = 0
-        self._era = 0
+        self._revision = UNREAD
         self._unavailable = False
         self.feed = ChangeFeed(clock)
         self.answered_at: float | None = None
@@ -86,9 +90,7 @@
                     await self._watch()
                 backoff = RETRY_MIN_SECONDS
             except HistoryLost:
-                self._log.emit(
-                    Event.HISTORY_LOST, era=self._era, revision=self._revision
-                )
+                self._log.emit(Event.HISTORY_LOST, **self._revision.log_fields())
                 resync = True
             except (PlatformUnavailable, PlatformRefused) as exc:
                 self._mark_unavailable(exc)
@@ -97,7 +99,9 @@
 
     async def _read_all(self) -> None:
         batch = await self._store.read_all()
-        self._record_era(batch)
+        if UNREAD.era < self._revision.era < batch.revision.era:
+            self._log_restore(batch.revision)
+        self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
         replicas, hosts, zones, crash_tables = set(), set(), set(), set()
@@ -112,7 +116,9 @@
             elif isinstance(update, CrashTableListed):
                 crash_tables.add(update.host)
         for name in self._fleet.retain(replicas, now):
-            self._log.emit(Event.REPLICA_GONE, replica=name, revision=batch.revision)
+            self._log.emit(
+                Event.REPLICA_GONE, replica=name, **batch.revision.log_fields()
+            )
         for zone in self._fleet.evacuated - zones:
             self._apply_evacuation(
                 ZoneEvacuationChanged(zone, False), batch.revision, now
@@ -120,8 +126,9 @@
         self._hosts.retain(hosts)
         if self._hosts.local_host.name not in crash_tables:
             self._crashes.table_removed(self._hosts.local_host.name)
-        self.feed.reset(batch.revision)
-        await self._complete_batch(batch)
+        await self.feed.reset(batch.revision)
+        if batch.changes:
+            await self._on_change()
 
     async def _watch(self) -> None:
         batch = await self._store.watch(self._revision, WATCH_SECONDS)
@@ -130,16 +137,14 @@
         for change in batch.changes:
             self._apply(change, now)
         for name in self._fleet.expire(now):
-            self._log.emit(Event.REPLICA_GONE, replica=name, revision=batch.revision)
-        await self.feed.add(batch)
-        await self._complete_batch(batch)
-        if batch.changes:
-            await self._clock.sleep(COALESCE_SECONDS)
-
-    async def _complete_batch(self, batch: ChangeBatch) -> None:
+            self._log.emit(
+                Event.REPLICA_GONE, replica=name, **batch.revision.log_fields()
+            )
         self._revision = max(batch.revision, self._revision)
+        await self.feed.add(batch)
         if batch.changes:
             await self._on_change()
+            await self._clock.sleep(COALESCE_SECONDS)
 
     def _apply(self, change: Change, now: float):
         """Apply one change; a malformed document leaves the last valid one in force."""
@@ -149,8 +154,8 @@
             self._log.emit(
                 Event.DOCUMENT_REJECTED,
                 key=change.key,
-                revision=change.revision,
                 detail=str(exc),
+                **change.revision.log_fields(),
             )
             return None
         if isinstance(update, ManifestAccepted):
@@ -158,9 +163,8 @@
                 self._log.emit(
                     Event.MANIFEST_INSTALLED,
                     version=update.manifest.version,
-                    era=self._era,
-                    revision=change.revision,
                     routes=len(update.manifest.routes),
+                    **change.revision.log_fields(),
                 )
         elif isinstance(update, ZoneEvacuationChanged):
             self._apply_evacuation(update, change.revision, now)
@@ -184,14 +188,14 @@
                 Event.ZONE_EVACUATION,
                 zone=update.zone,
                 evacuated=update.evacuated,
-                revision=revision,
+                **revision.log_fields(),
             )
 
     def _apply_replica(self, update: ReplicaListed | ReplicaRemoved, revision, now):
         if isinstance(update, ReplicaRemoved):
             if self._fleet.remove(update.name, now):
                 self._log.emit(
-                    Event.REPLICA_GONE, replica=update.name, revision=revision
+                    Event.REPLICA_GONE, replica=update.name, **revision.log_fields()
                 )
             return
         replica = update.replica
@@ -207,7 +211,7 @@
                 zone=replica.zone,
                 draining=replica.draining,
                 cold=replica.cold_until > now,
-                revision=revision,
+                **revision.log_fields(),
             )
 
     def _log_host(self, name, incarnation, change) -> None:
@@ -215,21 +219,16 @@
             Event.HOST_LISTED,
             name=name,
             incarnation=incarnation,
-            revision=change.revision,
+            **change.revision.log_fields(),
         )
 
-    def _record_era(self, batch: ChangeBatch) -> None:
-        if batch.era == self._era:
-            return
-        if self._revision:
-            self._log.emit(
-                Event.STORE_RESTORED,
-                era=batch.era,
-                revision=batch.revision,
-                previous_era=self._era,
-                previous_revision=self._revision,
-            )
-        self._era = batch.era
+    def _log_restore(self, revision: StoreRevision) -> None:
+        self._log.emit(
+            Event.STORE_RESTORED,
+            previous_era=self._revision.era,
+            previous_revision=self._revision.number,
+            **revision.log_fields(),
+        )
 
     def _record_answer(self) -> None:
         now = self._clock.monotonic()
@@ -238,7 +237,7 @@
         self._hosts.store_answered(now)
         if self._unavailable:
             self._unavailable = False
-            self._log.emit(Event.PLATFORM_UP, era=self._era, revision=self._revision)
+            self._log.emit(Event.PLATFORM_UP, **self._revision.log_fields())
 
     def _mark_unavailable(self, exc) -> None:
         self._fleet.store_unreachable(self._clock.monotonic())
@@ -247,6 +246,5 @@
             self._log.emit(
                 Event.PLATFORM_DOWN,
                 detail=str(exc),
-                era=self._era,
-                revision=self._revision,
+                **self._revision.log_fields(),
             )
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -3,23 +3,37 @@
 from typing import NamedTuple, Protocol
 
 
+class StoreRevision(NamedTuple):
+    """A point in the history of a store; points are ordered by era, then by number.
+
+    The era rises when the store is restored from a copy, and the numbers after that of
+    the copy are then given out again.
+    """
+
+    era: int
+    number: int
+
+    def log_fields(self) -> dict[str, int]:
+        """Return the fields of a log line."""
+        return {"era": self.era, "revision": self.number}
+
+
+UNREAD = StoreRevision(0, 0)
+
+
 class Change(NamedTuple):
     """The write of a key, or its removal if `value` is None."""
 
     key: str
     value: bytes | None
-    revision: int
+    revision: StoreRevision
 
 
 class ChangeBatch(NamedTuple):
-    """Changes, and the revision of the store up to which they are complete.
-
-    `era` rises when the store is restored from a copy.
-    """
+    """Changes of one era, and the revision up to which they are complete."""
 
     changes: tuple[Change, ...]
-    revision: int
-    era: int = 0
+    revision: StoreRevision
 
 
 class Store(Protocol):
@@ -28,13 +42,14 @@
     async def read_all(self) -> ChangeBatch:
         """Return all items as changes, and the revision from which to watch."""
 
-    async def watch(self, after: int, seconds: float) -> ChangeBatch:
+    async def watch(self, after: StoreRevision, seconds: float) -> ChangeBatch:
         """Return the changes after a revision, waiting at most `seconds` for the first.
 
-        Raises HistoryLost if the store no longer has the changes after `after`.
+        Raises HistoryLost if the store no longer has the changes after `after`, or was
+        restored since.
         """
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    async def put(self, key: str, value: bytes, lease: int = 0) -> StoreRevision:
         """Write a key, under a lease unless it is 0, and return the new revision.
 
         Raises LeaseLost if the lease has ended.
--- a/sassafraskeel/store/registration.py
+++ b/sassafraskeel/store/registration.py
@@ -75,4 +75,4 @@
             await self._store.revoke_lease(lease)
             return
         self._lease = lease
-        self._log.emit(Event.HOST_REGISTERED, lease=lease, revision=revision)
+        self._log.emit(Event.HOST_REGISTERED, lease=lease, **revision.log_fields())
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -20,7 +20,7 @@
     decode_replica,
 )
 from sassafraskeel.platform.store_client import StoreClient
-from sassafraskeel.store.interface import Change
+from sassafraskeel.store.interface import Change, StoreRevision
 from sassafraskeel.store.updates import HostListed
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
@@ -117,14 +117,14 @@
             await store.write(f"servers/{number:05}", b"x")
         batch = await client.read_all()
         self.assertEqual(len(batch.changes), 1203)
-        self.assertEqual(batch.revision, store.revision)
+        self.assertEqual(batch.revision, StoreRevision(1, store.revision))
 
     @with_store
     async def test_watch(self, store, client, clock):
         """Guards against changes that a watch misses."""
         await store.write("op/a", b"1")
         await store.write("op/a", None)
-        batch = await client.watch(1, 1.0)
+        batch = await client.watch(StoreRevision(1, 1), 1.0)
         self.assertEqual([change.value for change in batch.changes], [b"1", None])
         batch = await client.watch(batch.revision, 1.0)
         self.assertEqual(batch.changes, ())
@@ -135,14 +135,14 @@
         await store.write("op/a", b"1")
         await store.compact()
         with self.assertRaises(HistoryLost):
-            await client.watch(1, 1.0)
+            await client.watch(StoreRevision(1, 1), 1.0)
 
     @with_store
     async def test_silent(self, store, client, clock):
         """Guards against a watch that waits forever on a silent connection."""
         store.silent = True
         with self.assertRaises(PlatformUnavailable):
-            await client.watch(1, 1.0)
+            await client.watch(StoreRevision(1, 1), 1.0)
 
     @with_store
     async def test_lost_answer(self, store, client, clock):
@@ -150,7 +150,7 @@
         store.lose_answers = 1
         with self.assertRaises(PlatformUnavailable):
             await client.put("hosts/a", b"1")
-        self.assertGreater(await client.put("hosts/a", b"2"), 0)
+        self.assertGreater((await client.put("hosts/a", b"2")).number, 0)
 
     @with_store
     async def test_lease(self, store, client, clock):
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -13,7 +13,7 @@
 )
 from sassafraskeel.decisions.roster import HostState, Roster, RosterEntry
 from sassafraskeel.store.feed import MAX_CHANGES, ChangeFeed
-from sassafraskeel.store.interface import Change, ChangeBatch
+from sassafraskeel.store.interface import Change, ChangeBatch, StoreRevision
 from tests.support.clock import run_virtual
 
 ADDRESS = Address("10.0.0.1", 80)
@@ -87,22 +87,27 @@
         self.assertEqual(loads.regions(10.0 + SUMMARY_TTL_SECONDS), [])
 
 
+def at(number) -> StoreRevision:
+    return StoreRevision(1, number)
+
+
 class ChangeFeedTest(TestCase):
     def test_changes(self):
         """Guards against changes that a follower misses or gets twice."""
 
         async def main(clock):
             feed = ChangeFeed(clock)
-            feed.reset(5)
-            await feed.add(ChangeBatch((Change("a", b"1", 6), Change("b", b"", 7)), 7))
-            batch = await feed.wait(6, 1.0)
+            await feed.reset(at(5))
+            changes = (Change("a", b"1", at(6)), Change("b", b"", at(7)))
+            await feed.add(ChangeBatch(changes, at(7)))
+            batch = await feed.wait(at(6), 1.0)
             self.assertEqual([change.key for change in batch.changes], ["b"])
-            self.assertEqual(batch.revision, 7)
+            self.assertEqual(batch.revision, at(7))
             started = clock.monotonic()
-            self.assertEqual((await feed.wait(7, 1.0)).changes, ())
+            self.assertEqual((await feed.wait(at(7), 1.0)).changes, ())
             self.assertGreaterEqual(clock.monotonic() - started, 1.0)
             with self.assertRaises(HistoryLost):
-                await feed.wait(4, 1.0)
+                await feed.wait(at(4), 1.0)
 
         run_virtual(main)
 
@@ -111,11 +116,13 @@
 
         async def main(clock):
             feed = ChangeFeed(clock)
-            feed.reset(1)
-            changes = tuple(Change("a", b"", 2 + n) for n in range(MAX_CHANGES + 10))
+            await feed.reset(at(1))
+            changes = tuple(
+                Change("a", b"", at(2 + n)) for n in range(MAX_CHANGES + 10)
+            )
             await feed.add(ChangeBatch(changes, changes[-1].revision))
             with self.assertRaises(HistoryLost):
-                await feed.wait(5, 1.0)
-            self.assertEqual(len((await feed.wait(11, 1.0)).changes), MAX_CHANGES)
+                await feed.wait(at(5), 1.0)
+            self.assertEqual(len((await feed.wait(at(11), 1.0)).changes), MAX_CHANGES)
 
         run_virtual(main)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -4,15 +4,19 @@
 
 import curio
 
+from sassafraskeel.core.errors import HistoryLost, PlatformUnavailable
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.types import HostInfo
-from sassafraskeel.emulators.store import StoreEmulator
+from sassafraskeel.emulators.store import PAGE_ITEMS, StoreEmulator
 from sassafraskeel.platform.documents import PlatformDocumentCodec
 from sassafraskeel.platform.store_client import StoreClient
+from sassafraskeel.store.feed import ChangeFeed
+from sassafraskeel.store.interface import StoreRevision
 from sassafraskeel.store.registration import Registration
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 from tests.support.routes import ANY_PORT, ROUTES, manifest, with_routes
+from tests.test_platform_documents import with_store
 
 ADDED = {"name": "added", "pathPrefix": "/added/", "kind": "safe"}
 
@@ -54,6 +58,65 @@
         await self.check_added_route(world)
 
 
+class EraTest(TestCase):
+    @with_store
+    async def test_restore_between_pages(self, store, client, clock):
+        """Guards against a list of items that is put together from two eras."""
+        for number in range(PAGE_ITEMS + 1):
+            await store.write(f"servers/{number:04}", b"x")
+        copy = store.copy()
+        reader = await curio.spawn(client.read_all)
+        while not store.calls:
+            await clock.sleep(0)
+        store.era += 1
+        with self.assertRaises(curio.TaskError) as caught:
+            await reader.join()
+        self.assertIsInstance(caught.exception.__cause__, PlatformUnavailable)
+        await store.restore(copy)
+        self.assertEqual((await client.read_all()).revision, (3, store.revision))
+
+    @with_store
+    async def test_late_answer(self, store, client, clock):
+        """Guards against a late answer of an older era that undoes a newer one."""
+        await store.restore(store.copy())
+        await client.read_all()
+        store.era = 1
+        with self.assertRaises(PlatformUnavailable):
+            await client.read_all()
+        store.era = 2
+        self.assertEqual((await client.read_all()).revision.era, 2)
+
+    @with_store
+    async def test_store_without_eras(self, store, client, clock):
+        """Guards against a store without eras whose changes can't be followed."""
+        store.era = None
+        revision = (await client.read_all()).revision
+        await store.write("op/a", b"1")
+        batch = await client.watch(revision, 1.0)
+        self.assertEqual([change.key for change in batch.changes], ["op/a"])
+
+    @with_store
+    async def test_malformed_era(self, store, client, clock):
+        """Guards against an answer of an unknown era that is taken as current."""
+        store.era = "x"
+        with self.assertRaises(PlatformUnavailable):
+            await client.read_all()
+
+    def test_feed_of_older_era(self):
+        """Guards against a feed that takes a host back to an older era."""
+
+        async def main(clock):
+            feed = ChangeFeed(clock)
+            await feed.reset(StoreRevision(1, 9))
+            with self.assertRaises(PlatformUnavailable):
+                await feed.wait(StoreRevision(2, 5), 1.0)
+            await feed.reset(StoreRevision(2, 5))
+            with self.assertRaises(HistoryLost):
+                await feed.wait(StoreRevision(1, 9), 1.0)
+
+        run_virtual(main)
+
+
 class ManifestTest(TestCase):
     @with_routes
     async def test_older_manifest_after_start(self, world):
