--- a/tests/test_route_faults.py
+++ b/tests/test_route_faults.py
@@ -20,6 +20,7 @@
     decode_replica,
 )
 from sassafraskeel.platform.store_client import MAX_ANSWER_BYTES, StoreClient
+from sassafraskeel.store.interface import StoreRevision
 from sassafraskeel.store.interface import Change
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
@@ -158,7 +159,7 @@
             await server.start()
             client = StoreClient(server.address, clock, network.for_node("host"))
             with self.assertRaises(PlatformUnavailable):
-                await client.watch(1, 30.0)
+                await client.watch(StoreRevision(1, 1), 30.0)
             self.assertLess(server.written, 2 * MAX_ANSWER_BYTES)
             await server.close()
 
