Hand the manifest in force to hosts that know an older one

Callers of a host that was started after a restore got 404 for a route that its peers served. The copy had an older manifest than the one in force, and a host that starts knew only the store. Running hosts were not concerned, since a manifest is replaced by a newer version only.

The document is decoded like one of the store; a malformed one is logged and not taken.

--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -90,6 +90,9 @@
     LEASE_ENDED = EventSpec(409, Level.WARNING, "host lease ended")
     HOST_LISTED = EventSpec(410, Level.INFO, "host registration changed")
     STORE_RESTORED = EventSpec(411, Level.WARNING, "store was restored from a copy")
+    MANIFEST_UNANSWERED = EventSpec(
+        412, Level.INFO, "manifest of a peer could not be read"
+    )
     PEER_CONNECTED = EventSpec(501, Level.INFO, "control link opened")
     PEER_LOST = EventSpec(502, Level.WARNING, "control link lost")
     PEER_REJECTED = EventSpec(503, Level.WARNING, "peer connection rejected")
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -28,6 +28,7 @@
     Hello,
     Intent,
     LinkClosing,
+    ManifestDocument,
     Notice,
     Offer,
     OrderLookup,
@@ -119,6 +120,7 @@
     81: DrainNotice,
     82: FeedRequest,
     83: FeedChanges,
+    84: ManifestDocument,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -13,7 +13,8 @@
 class Hello(NamedTuple):
     """The first message on a connection, sent by both ends.
 
-    `purpose` is "control" or "calls".
+    `purpose` is "control", "calls" or "manifest"; to the last one, the accepting end
+    answers with a ManifestDocument after its hello.
     """
 
     host: HostInfo
@@ -306,6 +307,12 @@
     age: float
 
 
+class ManifestDocument(NamedTuple):
+    """The document of the manifest in force on the sender, empty if there is none."""
+
+    data: bytes
+
+
 class RouteOffer(NamedTuple):
     """The header of a forwarded call of a route; answered by Accept or Refuse.
 
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -1,5 +1,6 @@
 """The server of control links and forwarded calls for other gateway hosts."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import curio
@@ -31,6 +32,7 @@
     offer_to_call,
     refusal_to_message,
 )
+from sassafraskeel.gateways.manifests import MANIFEST_PURPOSE
 from sassafraskeel.gateways.messages import (
     Accept,
     AnswerData,
@@ -40,6 +42,7 @@
     Body,
     BodyPart,
     Hello,
+    ManifestDocument,
     Offer,
     RouteOffer,
 )
@@ -55,12 +58,16 @@
 
 
 class PeerComponents(NamedTuple):
-    """The parts of a host that serve the requests of other hosts."""
+    """The parts of a host that serve the requests of other hosts.
+
+    `manifest` returns the document of the manifest in force, b"" if there is none.
+    """
 
     dispatcher: CallDispatcher
     request_tracker: RequestTracker
     recorder: CallRecorder
     requests: RequestHandler
+    manifest: Callable[[], bytes] = bytes
 
 
 class GatewayServer:
@@ -142,6 +149,8 @@
             return
         if peer.purpose == "control":
             await AcceptedLink(channel, peer.host, self._components.requests).serve()
+        elif peer.purpose == MANIFEST_PURPOSE:
+            await channel.send(ManifestDocument(self._components.manifest()))
         else:
             await self._serve_calls(channel, peer.host, stream)
 
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -58,7 +58,9 @@
         """
         key, value = change.key, change.value
         if key == wire.MANIFEST_KEY:
-            return ManifestAccepted(decode_manifest(value)) if value else None
+            if not value:
+                return None
+            return ManifestAccepted(self.decode_manifest(value), value)
         if key.startswith(wire.EVACUATION_PREFIX):
             zone = key.removeprefix(wire.EVACUATION_PREFIX)
             return ZoneEvacuationChanged(zone, value is not None)
@@ -79,6 +81,10 @@
             return CrashTableListed(name, decode_crash_table(value, now))
         return None
 
+    def decode_manifest(self, document: bytes) -> Manifest:
+        """Decode the document of a manifest; raise MalformedDocument."""
+        return decode_manifest(document)
+
     def encode_host(self, host: HostInfo) -> tuple[str, bytes]:
         """Return the key and the value of a host's registration."""
         return wire.HOST_PREFIX + host.name, json.dumps(host).encode()
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -42,6 +42,7 @@
 from sassafraskeel.gateways.heartbeats import HeartbeatState, RouteHeartbeats
 from sassafraskeel.gateways.limit_relay import LimitRelay
 from sassafraskeel.gateways.link_manager import LinkManager
+from sassafraskeel.gateways.manifests import ManifestPeers
 from sassafraskeel.gateways.messages import (
     CallProgress,
     DrainNotice,
@@ -165,6 +166,14 @@
             env.clock,
             env.log,
         )
+        self._manifest_peers = ManifestPeers(
+            self.cfg.peers,
+            self.hosts,
+            env.clock,
+            env.network,
+            env.log,
+            lambda: self.fleet.version,
+        )
         self.follower = StoreFollower(
             self._feed_store,
             env.codec,
@@ -174,6 +183,7 @@
             env.clock,
             env.log,
             self._on_store_change,
+            self._manifest_peers,
         )
         self._crash_publisher = CrashPublisher(
             local_host.name, self.crashes, env.store, env.codec, env.clock
@@ -309,7 +319,11 @@
             env.network,
             env.log,
             PeerComponents(
-                self.dispatcher, self.request_tracker, self._recorder, self._links
+                self.dispatcher,
+                self.request_tracker,
+                self._recorder,
+                self._links,
+                lambda: self.follower.manifest_document,
             ),
             lambda: self.fleet.version,
             cfg.listen.gateways,
@@ -368,6 +382,7 @@
             await self._links.start()
             for function, *args in (
                 (self.follower.run,),
+                (self._manifest_peers.follow, self.follower.apply_document),
                 (self._registration.run,),
                 (self._crash_publisher.run,),
                 (self._cold_start_prober.run, self._group),
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -11,6 +11,7 @@
 )
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.fleet import Fleet
 from sassafraskeel.decisions.hosts import HostTable
@@ -18,6 +19,7 @@
 from sassafraskeel.store.interface import (
     UNREAD,
     Change,
+    ChangeBatch,
     Store,
     StoreRevision,
 )
@@ -28,6 +30,7 @@
     HostListed,
     HostRemoved,
     ManifestAccepted,
+    ManifestSource,
     ReplicaListed,
     ReplicaRemoved,
     ZoneEvacuationChanged,
@@ -62,6 +65,7 @@
         clock: Clock,
         log: LogSink,
         on_change: OnChange,
+        manifests: ManifestSource,
     ):
         self._store = store
         self._codec = codec
@@ -71,6 +75,8 @@
         self._clock = clock
         self._log = log
         self._on_change = on_change
+        self._manifests = manifests
+        self.manifest_document = b""
         self._revision = UNREAD
         self._unavailable = False
         self.feed = ChangeFeed(clock)
@@ -104,6 +110,10 @@
         self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
+        if not self._fleet.version:
+            # The store may have been restored to an older manifest than peers have.
+            document = await self._manifests.ask(self._listed_hosts(batch))
+            await self.apply_document(document)
         replicas, hosts, zones, crash_tables = set(), set(), set(), set()
         for change in batch.changes:
             update = self._apply(change, now)
@@ -159,13 +169,7 @@
             )
             return None
         if isinstance(update, ManifestAccepted):
-            if self._fleet.accept(update.manifest):
-                self._log.emit(
-                    Event.MANIFEST_INSTALLED,
-                    version=update.manifest.version,
-                    routes=len(update.manifest.routes),
-                    **change.revision.log_fields(),
-                )
+            self._install(update.manifest, update.document, change.revision)
         elif isinstance(update, ZoneEvacuationChanged):
             self._apply_evacuation(update, change.revision, now)
         elif isinstance(update, ReplicaListed | ReplicaRemoved):
@@ -182,6 +186,46 @@
             self._log_host(update.name, "", change)
         return update
 
+    async def apply_document(self, document: bytes, peer: str = "") -> None:
+        """Apply the manifest of another host, unless it is older or malformed.
+
+        Without the replicas of the store, a host with a manifest could not serve.
+        """
+        if not document or self._revision == UNREAD:
+            return
+        try:
+            manifest = self._codec.decode_manifest(document)
+        except MalformedDocument as exc:
+            self._log.emit(Event.DOCUMENT_REJECTED, peer=peer, detail=str(exc))
+            return
+        if self._install(manifest, document, self._revision, source="peer"):
+            await self._on_change()
+
+    def _install(self, manifest, document, revision, source="store") -> bool:
+        if not self._fleet.accept(manifest):
+            return False
+        self.manifest_document = document
+        self._log.emit(
+            Event.MANIFEST_INSTALLED,
+            version=manifest.version,
+            routes=len(manifest.routes),
+            source=source,
+            **revision.log_fields(),
+        )
+        return True
+
+    def _listed_hosts(self, batch: ChangeBatch) -> list[HostInfo]:
+        """Return the hosts in a batch; malformed documents are logged later."""
+        hosts = []
+        for change in batch.changes:
+            try:
+                update = self._codec.decode(change, 0.0)
+            except MalformedDocument:
+                continue
+            if isinstance(update, HostListed):
+                hosts.append(update.host)
+        return hosts
+
     def _apply_evacuation(self, update: ZoneEvacuationChanged, revision, now) -> None:
         if self._fleet.set_evacuated(update.zone, update.evacuated, now):
             self._log.emit(
--- a/sassafraskeel/store/updates.py
+++ b/sassafraskeel/store/updates.py
@@ -1,5 +1,6 @@
 """The updates that a host decodes from changes of the store."""
 
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
 from sassafraskeel.core.types import HostInfo
@@ -10,9 +11,10 @@
 
 
 class ManifestAccepted(NamedTuple):
-    """The operators accepted a new manifest."""
+    """The operators accepted a new manifest, which was written as `document`."""
 
     manifest: Manifest
+    document: bytes
 
 
 class ZoneEvacuationChanged(NamedTuple):
@@ -71,6 +73,13 @@
 )
 
 
+class ManifestSource(Protocol):
+    """The other hosts, which may have a newer manifest than the store."""
+
+    async def ask(self, hosts: Sequence[HostInfo]) -> bytes:
+        """Return the document in force on one of some hosts, b"" without an answer."""
+
+
 class DocumentCodec(Protocol):
     """Decodes and encodes the documents in the store."""
 
@@ -80,6 +89,9 @@
         `now` is a reading of the monotonic clock.
         """
 
+    def decode_manifest(self, document: bytes) -> Manifest:
+        """Decode the document of a manifest; raise MalformedDocument."""
+
     def encode_host(self, host: HostInfo) -> tuple[str, bytes]:
         """Return the key and the value of a host's registration."""
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -132,6 +132,31 @@
         head, _ = await world.call("/added/1", host=3)
         self.assertEqual(head.status, 200)
 
+    @with_routes
+    async def test_older_manifest_stays(self, world):
+        """Guards against a host that stays at an older manifest than its peers use."""
+        copy = world.store.copy()
+        await world.store.write("op/config", manifest(5, (*ROUTES, ADDED)))
+        await world.clock.sleep(1)
+        await world.store.restore(copy)
+        others = ["host-0", "host-1", "host-2"]
+        world.network.faults.cut(["host-3"], others)
+        world.hosts.append(world.build_host(3, "north-a"))
+        await world.hosts[3].start()
+        await world.clock.sleep(2)
+        self.assertEqual(world.hosts[3].fleet.version, 1)
+        world.network.faults.heal()
+        await world.clock.sleep(5)
+        self.assertEqual(world.hosts[3].fleet.version, 5)
+
+    @with_routes
+    async def test_malformed_manifest_of_peer(self, world):
+        """Guards against a malformed manifest of a peer that is taken."""
+        host = world.hosts[0]
+        for document in (b"{", b'{"version": 9}', manifest(0)):
+            await host.follower.apply_document(document, "host-1")
+            self.assertEqual(host.fleet.version, 1)
+
 
 def build_registration(name, store, network, clock) -> Registration:
     host = HostInfo(name, "a", name, ANY_PORT, ANY_PORT, 1.0)
