--- a/tests/test_route_faults.py
+++ b/tests/test_route_faults.py
@@ -20,8 +20,7 @@
     decode_replica,
 )
 from sassafraskeel.platform.store_client import MAX_ANSWER_BYTES, StoreClient
-from sassafraskeel.store.interface import StoreRevision
-from sassafraskeel.store.interface import Change
+from sassafraskeel.store.interface import Change, StoreRevision
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 from tests.support.raw_server import RawServer, answer_head
