Bind leases to the era in which they were granted

A host that was stopped after a restore that it had not noticed ended a lease that had been given out again, and with it the registration of another host; until its next renewal it renewed the other's lease, and stayed unregistered itself.

A lease has an era. It is not used once another era is known, and an answer of another era means that it is lost. A host registers again when it has read a restored store, not at the next renewal. A planned stop removes the key under the condition that its last change is the one of this registration, instead of ending the lease. That can't take away the keys of others, whatever the host knows of the era. The lease then expires without keys. Only a host of the same name writes the key, so that its revision, given out again, can be that of another write only where a newer process of this host has written it.

--- a/sassafraskeel/gateways/store_feed.py
+++ b/sassafraskeel/gateways/store_feed.py
@@ -19,7 +19,13 @@
 from sassafraskeel.gateways.forwarding import refusal_to_message
 from sassafraskeel.gateways.messages import FeedChanges, FeedRequest, Refuse
 from sassafraskeel.store.feed import ChangeFeed
-from sassafraskeel.store.interface import Change, ChangeBatch, Store, StoreRevision
+from sassafraskeel.store.interface import (
+    Change,
+    ChangeBatch,
+    Lease,
+    Store,
+    StoreRevision,
+)
 
 # A request without changes is answered after this time, which shows that the feed
 # works.
@@ -89,18 +95,20 @@
         self._follows_directly = True
         return await self._store.watch(after, seconds)
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> StoreRevision:
+    async def put(
+        self, key: str, value: bytes, lease: Lease | None = None
+    ) -> StoreRevision:
         return await self._store.put(key, value, lease)
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def remove(self, key: str, revision: StoreRevision) -> None:
+        await self._store.remove(key, revision)
+
+    async def grant_lease(self, seconds: float) -> Lease:
         return await self._store.grant_lease(seconds)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         await self._store.renew_lease(lease)
 
-    async def revoke_lease(self, lease: int) -> None:
-        await self._store.revoke_lease(lease)
-
     async def _watch_feed(self, link: ControlLink, after: StoreRevision) -> ChangeBatch:
         reply = await link.request(FeedRequest(*after), FEED_TIMEOUT_SECONDS)
         if isinstance(reply, Refuse):
--- a/sassafraskeel/platform/store_client.py
+++ b/sassafraskeel/platform/store_client.py
@@ -5,7 +5,7 @@
 import json
 import re
 from typing import NamedTuple
-from urllib.parse import quote, urlencode
+from urllib.parse import urlencode
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
@@ -21,7 +21,12 @@
 from sassafraskeel.core.net import Address, Network
 from sassafraskeel.core.types import ResponseHead
 from sassafraskeel.platform import wire
-from sassafraskeel.store.interface import Change, ChangeBatch, StoreRevision
+from sassafraskeel.store.interface import (
+    Change,
+    ChangeBatch,
+    Lease,
+    StoreRevision,
+)
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 2
@@ -91,45 +96,54 @@
             raise HistoryLost(*after)
         return ChangeBatch(answer.changes("events"), answer.revision("asOf"))
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> StoreRevision:
+    async def put(
+        self, key: str, value: bytes, lease: Lease | None = None
+    ) -> StoreRevision:
         entry = {"key": key, "value": base64.b64encode(value).decode()}
-        if lease:
-            entry["lease"] = lease
         body = {"expectedRev": [], "puts": [entry], "remove": []}
+        if lease is None:
+            answer = await self._call("POST", "/api/kv-txn", body)
+        else:
+            entry["lease"] = lease.number
+            answer = await self._call_lease(lease, "/api/kv-txn", body)
+        return answer.revision("revision")
+
+    async def remove(self, key: str, revision: StoreRevision) -> None:
+        expected = {"key": key, "revision": revision.number}
+        body = {"expectedRev": [expected], "puts": [], "remove": [key]}
         try:
-            return (await self._call("POST", "/api/kv-txn", body)).revision("revision")
+            await self._call("POST", "/api/kv-txn", body)
         except PlatformRefused as exc:
-            if exc.status == 404:
-                raise LeaseLost(str(lease)) from exc
             if exc.status == 412:
-                raise CompareFailed(key, 0) from exc
+                raise CompareFailed(key, revision.number) from exc
             raise
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def grant_lease(self, seconds: float) -> Lease:
         body = {"ttlMs": int(seconds * 1000)}
         answer = await self._call("POST", "/api/kv-lease", body)
-        return _get_int(answer.content, "lease")
-
-    async def renew_lease(self, lease: int) -> None:
-        await self._call_lease("POST", f"/api/kv-keep/{quote(str(lease))}", lease)
+        return Lease(answer.era, _get_int(answer.content, "lease"))
 
-    async def revoke_lease(self, lease: int) -> None:
-        await self._call_lease(
-            "DELETE", f"/api/kv-lease-end/{quote(str(lease))}", lease
-        )
+    async def renew_lease(self, lease: Lease) -> None:
+        await self._call_lease(lease, f"/api/kv-keep/{lease.number}")
 
     async def close(self) -> None:
         """Close the idle connections."""
         while self._idle_connections:
             await self._idle_connections.pop().close()
 
-    async def _call_lease(self, method, path, lease) -> None:
+    async def _call_lease(self, lease: Lease, path, body=None) -> _Answer:
+        """Make a call that uses a lease, unless it is known to be of an older era."""
+        if lease.era != self._era:
+            raise LeaseLost(f"lease {lease.number} is of era {lease.era}")
         try:
-            await self._call(method, path)
+            answer = await self._call("POST", path, body)
         except PlatformRefused as exc:
             if exc.status == 404:
-                raise LeaseLost(str(lease)) from exc
+                raise LeaseLost(str(lease.number)) from exc
             raise
+        if answer.era != lease.era:
+            raise LeaseLost(f"lease {lease.number} is of era {lease.era}")
+        return answer
 
     async def _call(self, method, path, body=None, wait=0.0) -> _Answer:
         data = b"" if body is None else json.dumps(body).encode()
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -184,6 +184,7 @@
             env.log,
             self._on_store_change,
             self._manifest_peers,
+            lambda: self._registration.store_restored(),
         )
         self._crash_publisher = CrashPublisher(
             local_host.name, self.crashes, env.store, env.codec, env.clock
--- a/sassafraskeel/store/crash_publisher.py
+++ b/sassafraskeel/store/crash_publisher.py
@@ -3,7 +3,7 @@
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import LeaseLost, PlatformRefused, PlatformUnavailable
 from sassafraskeel.decisions.crash_evidence import EXPIRY_SECONDS, CrashEvidence
-from sassafraskeel.store.interface import Store
+from sassafraskeel.store.interface import Lease, Store
 from sassafraskeel.store.updates import DocumentCodec
 
 # Calls to the store are billed, so changes within this time are written together.
@@ -30,7 +30,7 @@
         self._store = store
         self._codec = codec
         self._clock = clock
-        self._lease = 0
+        self._lease: Lease | None = None
         self._leased_at = 0.0
         self._published = evidence.version
 
@@ -43,13 +43,13 @@
             try:
                 await self._publish()
             except LeaseLost:
-                self._lease = 0
+                self._lease = None
             except (PlatformUnavailable, PlatformRefused):
                 pass  # The store follower logs outages; the write is tried again.
             await self._clock.sleep(MIN_INTERVAL_SECONDS)
 
     async def _publish(self) -> None:
-        if not self._lease:
+        if self._lease is None:
             self._leased_at = self._clock.monotonic()
             self._lease = await self._store.grant_lease(EXPIRY_SECONDS)
         now = self._clock.monotonic()
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -66,6 +66,7 @@
         log: LogSink,
         on_change: OnChange,
         manifests: ManifestSource,
+        on_restore: OnChange,
     ):
         self._store = store
         self._codec = codec
@@ -76,6 +77,7 @@
         self._log = log
         self._on_change = on_change
         self._manifests = manifests
+        self._on_restore = on_restore
         self.manifest_document = b""
         self._revision = UNREAD
         self._unavailable = False
@@ -107,6 +109,7 @@
         batch = await self._store.read_all()
         if UNREAD.era < self._revision.era < batch.revision.era:
             self._log_restore(batch.revision)
+            await self._on_restore()
         self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -21,6 +21,13 @@
 UNREAD = StoreRevision(0, 0)
 
 
+class Lease(NamedTuple):
+    """A lease of one era; its number may be given out again in another one."""
+
+    era: int
+    number: int
+
+
 class Change(NamedTuple):
     """The write of a key, or its removal if `value` is None."""
 
@@ -49,17 +56,19 @@
         restored since.
         """
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> StoreRevision:
-        """Write a key, under a lease unless it is 0, and return the new revision.
+    async def put(
+        self, key: str, value: bytes, lease: Lease | None = None
+    ) -> StoreRevision:
+        """Write a key, under a lease if there is one, and return the new revision.
 
-        Raises LeaseLost if the lease has ended.
+        Raises LeaseLost if the lease has ended or is of an older era.
         """
 
-    async def grant_lease(self, seconds: float) -> int:
-        """Grant a lease for some seconds and return its id."""
+    async def remove(self, key: str, revision: StoreRevision) -> None:
+        """Remove a key; raise CompareFailed unless `revision` is its last change."""
 
-    async def renew_lease(self, lease: int) -> None:
-        """Renew a lease; raise LeaseLost if it has ended."""
+    async def grant_lease(self, seconds: float) -> Lease:
+        """Grant a lease for some seconds."""
 
-    async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease, which removes its keys; raise LeaseLost if it has ended."""
+    async def renew_lease(self, lease: Lease) -> None:
+        """Renew a lease; raise LeaseLost if it has ended or is of an older era."""
--- a/sassafraskeel/store/registration.py
+++ b/sassafraskeel/store/registration.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Callable
 
+import curio
+
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
+    CompareFailed,
     LeaseLost,
     PlatformRefused,
     PlatformUnavailable,
+    TimedOut,
 )
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import HostInfo
-from sassafraskeel.store.interface import Store
+from sassafraskeel.store.interface import Lease, Store, StoreRevision
 from sassafraskeel.store.updates import DocumentCodec
 
 # A failed host must be gone from the directory within nine seconds.
@@ -36,43 +40,64 @@
         self._get_host = get_host
         self._clock = clock
         self._log = log
-        self._lease = 0
+        self._lease: Lease | None = None
+        self._revision: StoreRevision | None = None
         self._unregistered = False
+        self._restored = curio.Event()
 
     async def run(self) -> None:
         """Stay registered until `unregister` is called."""
         while not self._unregistered:
             try:
-                if self._lease:
+                if self._lease is not None:
                     await self._store.renew_lease(self._lease)
                 else:
                     await self._register()
-                await self._clock.sleep(RENEW_SECONDS)
-            except LeaseLost:
-                self._log.emit(Event.LEASE_ENDED, lease=self._lease)
-                self._lease = 0
+                await self._wait()
+            except LeaseLost as exc:
+                self._log.emit(Event.LEASE_ENDED, detail=str(exc))
+                self._lease = None
             except (PlatformUnavailable, PlatformRefused):
                 # The store follower logs outages of the store.
                 await self._clock.sleep(RETRY_SECONDS)
 
+    async def store_restored(self) -> None:
+        """Register again at once, since leases do not outlast an era."""
+        await self._restored.set()
+
     async def unregister(self) -> None:
-        """Revoke the lease; a failure is logged, and the lease expires by itself."""
+        """Remove the registration; a failure is logged, and the lease expires.
+
+        The lease itself is not ended: after a restore that this host has not noticed,
+        it may be the lease of another host.
+        """
         self._unregistered = True
-        lease, self._lease = self._lease, 0
-        if not lease:
+        revision, self._revision = self._revision, None
+        if revision is None:
             return
+        key, _ = self._codec.encode_host(self._get_host())
+        try:
+            await self._store.remove(key, revision)
+        except (PlatformUnavailable, PlatformRefused, CompareFailed) as exc:
+            self._log.emit(Event.LEASE_ENDED, detail=str(exc))
+
+    async def _wait(self) -> None:
+        """Wait until the lease is to be renewed or the store was restored."""
         try:
-            await self._store.revoke_lease(lease)
-        except (PlatformUnavailable, PlatformRefused, LeaseLost) as exc:
-            self._log.emit(Event.LEASE_ENDED, lease=lease, detail=str(exc))
+            async with self._clock.timeout(RENEW_SECONDS):
+                await self._restored.wait()
+        except TimedOut:
+            pass  # The lease is to be renewed.
+        self._restored.clear()
 
     async def _register(self) -> None:
         lease = await self._store.grant_lease(LEASE_SECONDS)
-        host = self._get_host()
-        key, value = self._codec.encode_host(host)
+        key, value = self._codec.encode_host(self._get_host())
         revision = await self._store.put(key, value, lease)
+        self._lease, self._revision = lease, revision
         if self._unregistered:
-            await self._store.revoke_lease(lease)
+            await self.unregister()
             return
-        self._lease = lease
-        self._log.emit(Event.HOST_REGISTERED, lease=lease, **revision.log_fields())
+        self._log.emit(
+            Event.HOST_REGISTERED, lease=lease.number, **revision.log_fields()
+        )
