Ignore entries of replicas that are older than what is known

Calls reached replicas that had reported that they drain, or had left, after the store was restored to a copy that listed them as ready.

Entries of one run of a replica, which its born names, are ordered by their seqNo. An older one than the known one is ignored, and so is one of a run whose entry was removed, unless it is newer than the removed one. Up to 1024 removed replicas are remembered. A replica that lapsed in an outage is not: it comes back with whatever it writes. The emulated replica counts its entries like a real one, whose entries the rule would otherwise ignore.

--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -79,6 +79,7 @@
     LIMIT_MALFORMED = EventSpec(
         320, Level.WARNING, "request limit of a replica is malformed"
     )
+    REPLICA_OUTDATED = EventSpec(321, Level.INFO, "older entry of a replica ignored")
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -12,14 +12,17 @@
 # their entries about every second, and an entry lapses after three missed intervals.
 OUTAGE_SECONDS = 1.0
 MAX_REPLICAS = 8192
+# Replicas that left, remembered so that a copy of the store does not bring them back.
+MAX_DEPARTED = 1024
 
 
 class Replica(NamedTuple):
     """The entry of a replica in the store, for one run of the replica.
 
-    `started_at_ms` is the start of the run in Unix milliseconds. `cold_until` and
-    `terminates_at` are in monotonic seconds; `terminates_at` is set when the platform
-    reclaims the replica at short notice.
+    `started_at_ms` is the start of the run in Unix milliseconds, and `sequence` rises
+    with each entry of a run; 0 stands for unknown. `cold_until` and `terminates_at` are
+    in monotonic seconds; `terminates_at` is set when the platform reclaims the replica
+    at short notice.
     """
 
     name: str
@@ -31,6 +34,7 @@
     draining: bool
     cold_until: float = 0.0
     terminates_at: float | None = None
+    sequence: int = 0
 
 
 class Fleet:
@@ -46,6 +50,7 @@
         self._replicas: dict[str, Replica] = {}
         self._evacuated: set[str] = set()
         self._missing_until: dict[str, float] = {}
+        self._departed: dict[str, Replica] = {}
         self._suspected_cold_until: dict[str, float] = {}
         self._unreachable_since: float | None = None
         self._recovered_at: float | None = None
@@ -103,12 +108,29 @@
                 self.mark_cold(replica.name, now)
         return True
 
+    def is_outdated(self, replica: Replica) -> bool:
+        """Return whether an entry is older than what is known of a run of a replica.
+
+        A store that was restored from a copy lists such entries.
+        """
+        if not replica.started_at_ms or not replica.sequence:
+            return False
+        known = self._replicas.get(replica.name)
+        if known is not None:
+            is_same_run = known.started_at_ms == replica.started_at_ms
+            return is_same_run and replica.sequence < known.sequence
+        departed = self._departed.get(replica.name)
+        if departed is None or departed.started_at_ms != replica.started_at_ms:
+            return False
+        return replica.sequence <= departed.sequence
+
     def update(self, replica: Replica) -> Replica | None:
         """Store the entry of a replica; return the previous one, or None."""
         known = self._replicas.get(replica.name)
         if known is None and len(self._replicas) >= MAX_REPLICAS:
             return None
         self._missing_until.pop(replica.name, None)
+        self._departed.pop(replica.name, None)
         self.changes += 1
         if known is not None and known.started_at_ms != replica.started_at_ms:
             self._suspected_cold_until.pop(replica.name, None)
@@ -128,6 +150,10 @@
             self._missing_until.setdefault(name, grace_end)
             self.changes += 1
             return False
+        self._departed.pop(name, None)
+        self._departed[name] = self._replicas[name]
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
         self._drop(name)
         return True
 
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -62,6 +62,7 @@
         self.restart_seconds = 3.0
         self.crashes: list[float] = []
         self.cold_ms = 0
+        self.sequence = 0
         self.limit = ""
         self.arrivals = 0
         self.arrival_times: list[float] = []
@@ -89,7 +90,8 @@
         await self._server.close()
 
     def store_entry(self, service: str, **fields) -> dict:
-        """Return the entry that the replica writes to the store."""
+        """Return the next entry that the replica writes to the store."""
+        self.sequence += 1
         return {
             "service": service,
             "address": str(self.address),
@@ -98,7 +100,7 @@
             "slots": self.slots,
             "state": "ready",
             "coldRemainingMs": self.cold_ms,
-            "seqNo": 1,
+            "seqNo": self.sequence,
             "born": 1,
         } | fields
 
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -128,7 +128,8 @@
     # The time for which the replica stays cold, not the time since its start.
     cold_ms = content.get("coldRemainingMs", 0)
     started_at_ms = content.get("born", 0)
-    numbers = [content.get("slots"), cold_ms, started_at_ms]
+    sequence = content.get("seqNo", 0)
+    numbers = [content.get("slots"), cold_ms, started_at_ms, sequence]
     if remaining_ms is not None:
         numbers.append(remaining_ms)
     if any(not _is_number(number) for number in numbers):
@@ -153,6 +154,7 @@
         draining=DRAINING_BY_STATE[state],
         cold_until=now + cold_ms / 1000 if cold_ms > 0 else 0.0,
         terminates_at=None if remaining_ms is None else now + remaining_ms / 1000,
+        sequence=int(sequence),
     )
 
 
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -246,6 +246,15 @@
                 )
             return
         replica = update.replica
+        if self._fleet.is_outdated(replica):
+            self._log.emit(
+                Event.REPLICA_OUTDATED,
+                replica=replica.name,
+                draining=replica.draining,
+                sequence=replica.sequence,
+                **revision.log_fields(),
+            )
+            return
         previous = self._fleet.update(replica)
         if previous is None or (previous.started_at_ms, previous.draining) != (
             replica.started_at_ms,
@@ -257,6 +266,7 @@
                 service=replica.service,
                 zone=replica.zone,
                 draining=replica.draining,
+                sequence=replica.sequence,
                 cold=replica.cold_until > now,
                 **revision.log_fields(),
             )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,12 @@
 from hypothesis import given, strategies as st
 
 from sassafraskeel.core.net import Address
-from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet, Replica
+from sassafraskeel.decisions.fleet import (
+    LAPSE_GRACE_SECONDS,
+    MAX_DEPARTED,
+    Fleet,
+    Replica,
+)
 from sassafraskeel.decisions.routes import CallerLimits, Manifest, ServiceSpec
 
 LIMITS = CallerLimits(16384, 65536, 3.0, 15.0)
@@ -44,6 +49,28 @@
         self.assertTrue(self.fleet.remove("r-1", 10.0))
         self.assertEqual(self.names(10.0), [])
 
+    def test_older_entry(self):
+        """Guards against a replica that an older entry of its run takes back.
+
+        Another run of the replica counts its entries anew.
+        """
+        self.fleet.update(replica(draining=True, sequence=9))
+        self.assertTrue(self.fleet.is_outdated(replica(sequence=8)))
+        self.assertFalse(self.fleet.is_outdated(replica(sequence=9)))
+        self.assertFalse(self.fleet.is_outdated(replica(started_at_ms=2, sequence=1)))
+        self.fleet.remove("r-1", 10.0)
+        self.assertTrue(self.fleet.is_outdated(replica(sequence=9)))
+        self.assertFalse(self.fleet.is_outdated(replica(sequence=10)))
+        self.assertFalse(self.fleet.is_outdated(replica(started_at_ms=2, sequence=1)))
+
+    def test_departed_replicas_are_bounded(self):
+        """Guards against a table of departed replicas that grows without bound."""
+        for number in range(MAX_DEPARTED + 1):
+            self.fleet.update(replica(f"r-{number}", sequence=1))
+            self.fleet.remove(f"r-{number}", 10.0)
+        self.assertFalse(self.fleet.is_outdated(replica("r-0", sequence=1)))
+        self.assertTrue(self.fleet.is_outdated(replica("r-1", sequence=1)))
+
     def test_lapsed_entry_is_restored(self):
         """Guards against live replicas that are dropped after a store outage."""
         self.fleet.store_unreachable(10.0)
