Keep what a restored store lacks until it was written again

After a restore that a host had not noticed as an outage, it dropped all replicas that had registered since the copy was made, and sent calls to zones that the operators had evacuated since, until both were written again.

The grace period of replicas whose entries lapsed begins at a change of era as well. Evacuations and registrations of hosts that the copy lacks are kept for it, too.

test_new_replica_is_dropped (503) and test_evacuation_is_forgotten (8 calls) failed before.

--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -40,20 +40,23 @@
 class Fleet:
     """The manifest in force, the replicas and the evacuated zones.
 
-    A replica whose entry lapsed during an outage of the store stays in use for
-    LAPSE_GRACE_SECONDS after the store has recovered. At most MAX_REPLICAS replicas
-    are kept; further ones are ignored.
+    A replica whose entry lapsed during an outage of the store, or is missing after the
+    store was restored from a copy, stays in use for LAPSE_GRACE_SECONDS. So does an
+    evacuation that is missing after a restore. At most MAX_REPLICAS replicas are kept;
+    further ones are ignored.
     """
 
     def __init__(self, regions: dict[str, str]):
         self._regions = regions
         self._replicas: dict[str, Replica] = {}
         self._evacuated: set[str] = set()
+        self._evacuated_until: dict[str, float] = {}
         self._missing_until: dict[str, float] = {}
         self._departed: dict[str, Replica] = {}
         self._suspected_cold_until: dict[str, float] = {}
         self._unreachable_since: float | None = None
         self._recovered_at: float | None = None
+        self._restored_at: float | None = None
         self.table: RouteTable | None = None
         # Incremented when the set of replicas that take new work may have changed.
         self.changes = 0
@@ -96,6 +99,7 @@
         When the evacuation ends, the replicas of the zone may have become cold.
         """
         self.changes += 1
+        self._evacuated_until.pop(zone, None)
         if evacuated:
             changed = zone not in self._evacuated
             self._evacuated.add(zone)
@@ -108,6 +112,21 @@
                 self.mark_cold(replica.name, now)
         return True
 
+    def retain_evacuated(self, zones: set[str], now: float) -> None:
+        """Let the evacuations end that a complete list omits; see `ended_evacuations`.
+
+        After a restore they last until operators have had time to write them again.
+        """
+        end = now
+        if self._restored_at is not None:
+            end = self._restored_at + LAPSE_GRACE_SECONDS
+        for zone in self._evacuated - zones:
+            self._evacuated_until.setdefault(zone, end)
+
+    def ended_evacuations(self, now: float) -> list[str]:
+        """Return the evacuated zones whose evacuation was not written again in time."""
+        return [zone for zone, until in self._evacuated_until.items() if now >= until]
+
     def is_outdated(self, replica: Replica) -> bool:
         """Return whether an entry is older than what is known of a run of a replica.
 
@@ -185,6 +204,10 @@
             self._recovered_at = now
         self._unreachable_since = None
 
+    def store_restored(self, now: float) -> None:
+        """Record that the store was restored, with or without a noticed outage."""
+        self._recovered_at = self._restored_at = now
+
     def mark_cold(self, name: str, now: float) -> None:
         """Treat a replica as cold from now on, because it may have restarted."""
         replica = self._replicas.get(name)
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -13,7 +13,7 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
-from sassafraskeel.decisions.fleet import Fleet
+from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.store.feed import ChangeFeed
 from sassafraskeel.store.interface import (
@@ -80,6 +80,8 @@
         self._on_restore = on_restore
         self.manifest_document = b""
         self._revision = UNREAD
+        self._unlisted_hosts: set[str] = set()
+        self._hosts_kept_until = float("-inf")
         self._unavailable = False
         self.feed = ChangeFeed(clock)
         self.answered_at: float | None = None
@@ -108,8 +110,7 @@
     async def _read_all(self) -> None:
         batch = await self._store.read_all()
         if UNREAD.era < self._revision.era < batch.revision.era:
-            self._log_restore(batch.revision)
-            await self._on_restore()
+            await self._handle_restore(batch.revision)
         self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
@@ -132,11 +133,10 @@
             self._log.emit(
                 Event.REPLICA_GONE, replica=name, **batch.revision.log_fields()
             )
-        for zone in self._fleet.evacuated - zones:
-            self._apply_evacuation(
-                ZoneEvacuationChanged(zone, False), batch.revision, now
-            )
-        self._hosts.retain(hosts)
+        self._fleet.retain_evacuated(zones, now)
+        registered = {host.name for host in self._hosts.registered()}
+        self._unlisted_hosts = registered - hosts
+        self._expire(batch.revision, now)
         if self._hosts.local_host.name not in crash_tables:
             self._crashes.table_removed(self._hosts.local_host.name)
         await self.feed.reset(batch.revision)
@@ -149,16 +149,24 @@
         now = self._clock.monotonic()
         for change in batch.changes:
             self._apply(change, now)
-        for name in self._fleet.expire(now):
-            self._log.emit(
-                Event.REPLICA_GONE, replica=name, **batch.revision.log_fields()
-            )
+        self._expire(batch.revision, now)
         self._revision = max(batch.revision, self._revision)
         await self.feed.add(batch)
         if batch.changes:
             await self._on_change()
             await self._clock.sleep(COALESCE_SECONDS)
 
+    def _expire(self, revision: StoreRevision, now: float) -> None:
+        """Drop what a restored or recovered store has not listed again in time."""
+        for name in self._fleet.expire(now):
+            self._log.emit(Event.REPLICA_GONE, replica=name, **revision.log_fields())
+        for zone in self._fleet.ended_evacuations(now):
+            self._apply_evacuation(ZoneEvacuationChanged(zone, False), revision, now)
+        if now >= self._hosts_kept_until:
+            for name in self._unlisted_hosts:
+                self._unregister(name, revision)
+            self._unlisted_hosts.clear()
+
     def _apply(self, change: Change, now: float):
         """Apply one change; a malformed document leaves the last valid one in force."""
         try:
@@ -182,11 +190,13 @@
         elif isinstance(update, CrashTableRemoved):
             self._crashes.table_removed(update.host)
         elif isinstance(update, HostListed):
+            self._unlisted_hosts.discard(update.host.name)
             previous = self._hosts.register(update.host)
             if previous != update.host:
-                self._log_host(update.host.name, update.host.incarnation, change)
-        elif isinstance(update, HostRemoved) and self._hosts.unregister(update.name):
-            self._log_host(update.name, "", change)
+                host = update.host
+                self._log_host(host.name, host.incarnation, change.revision)
+        elif isinstance(update, HostRemoved):
+            self._unregister(update.name, change.revision)
         return update
 
     async def apply_document(self, document: bytes, peer: str = "") -> None:
@@ -271,21 +281,30 @@
                 **revision.log_fields(),
             )
 
-    def _log_host(self, name, incarnation, change) -> None:
+    def _unregister(self, name: str, revision: StoreRevision) -> None:
+        if self._hosts.unregister(name):
+            self._log_host(name, "", revision)
+
+    def _log_host(self, name, incarnation, revision) -> None:
         self._log.emit(
             Event.HOST_LISTED,
             name=name,
             incarnation=incarnation,
-            **change.revision.log_fields(),
+            **revision.log_fields(),
         )
 
-    def _log_restore(self, revision: StoreRevision) -> None:
+    async def _handle_restore(self, revision: StoreRevision) -> None:
+        """Keep what the copy lacks until it was written again."""
+        now = self._clock.monotonic()
+        self._fleet.store_restored(now)
+        self._hosts_kept_until = now + LAPSE_GRACE_SECONDS
         self._log.emit(
             Event.STORE_RESTORED,
             previous_era=self._revision.era,
             previous_revision=self._revision.number,
             **revision.log_fields(),
         )
+        await self._on_restore()
 
     def _record_answer(self) -> None:
         now = self._clock.monotonic()
