Publish crashes again after a restore of the store

A table of crashes in the copy counted again at all hosts although its features had been cleared since, and a newer one was missing, until its host wrote the next change. A host that has read a restored store publishes its table again, under a new lease.

tests.test_store_restored.CrashTableTest failed before.

--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -184,7 +184,7 @@
             env.log,
             self._on_store_change,
             self._manifest_peers,
-            lambda: self._registration.store_restored(),
+            self._on_store_restored,
         )
         self._crash_publisher = CrashPublisher(
             local_host.name, self.crashes, env.store, env.codec, env.clock
@@ -483,6 +483,10 @@
         self._routing_state.limits.retain(names)
         await self._route_links.notify_change()
 
+    async def _on_store_restored(self) -> None:
+        self._crash_publisher.store_restored()
+        await self._registration.store_restored()
+
     async def _on_new_peer(self) -> None:
         self.hosts.invalidate()
         await self._route_links.notify_change()
--- a/sassafraskeel/store/crash_publisher.py
+++ b/sassafraskeel/store/crash_publisher.py
@@ -12,6 +12,7 @@
 # A lease this old is renewed after a write. Doing so before each write would keep other
 # regions waiting for one more round trip.
 RENEW_SECONDS = 60.0
+NOT_PUBLISHED = -1
 
 
 class CrashPublisher:
@@ -48,6 +49,12 @@
                 pass  # The store follower logs outages; the write is tried again.
             await self._clock.sleep(MIN_INTERVAL_SECONDS)
 
+    def store_restored(self) -> None:
+        """Publish again, since the store may have an older table or none."""
+        if self._lease is not None:
+            self._lease = None
+            self._published = NOT_PUBLISHED
+
     async def _publish(self) -> None:
         if self._lease is None:
             self._leased_at = self._clock.monotonic()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -274,3 +274,20 @@
         await world.clock.sleep(1)
         await world.call("/read/stock", call_id="e-last")
         self.assertEqual(sum(r.arrivals for r in world.replicas[:2]), 1)
+
+
+class CrashTableTest(TestCase):
+    @with_routes
+    async def test_older_crashes_count_again(self, world):
+        """Guards against crashes of the copy that count although they were cleared."""
+        crashes, clock = world.hosts[0].crashes, world.clock
+        crashes.replica_lost("desk", "r-0", ("part",), clock.monotonic())
+        await clock.sleep(2)
+        self.assertFalse(world.hosts[1].crashes.is_empty)
+        copy = world.store.copy()
+        crashes.answered("desk", ("part",), clock.monotonic())
+        await clock.sleep(2)
+        self.assertTrue(world.hosts[1].crashes.is_empty)
+        await world.store.restore(copy)
+        await clock.sleep(5)
+        self.assertTrue(world.hosts[1].crashes.is_empty)
