--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from sassafraskeel.core.errors import HistoryLost, PlatformUnavailable
+from sassafraskeel.core.errors import HistoryLost, LeaseLost, PlatformUnavailable
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.types import HostInfo
 from sassafraskeel.emulators.store import PAGE_ITEMS, StoreEmulator
@@ -209,6 +209,52 @@
         await clock.sleep(2)
         self.assertEqual(store.keys(), {"hosts/host-a", "hosts/host-b"})
 
+    @with_registrations
+    async def test_stop_removes_newer_registration(self, store, registrations, clock):
+        """Guards against a stop that removes what a newer process has registered."""
+        await store.write("hosts/host-a", b"newer")
+        await registrations[0].unregister()
+        self.assertIn("hosts/host-a", store.keys())
+
+    @with_store
+    async def test_lease_of_older_era(self, store, client, clock):
+        """Guards against a call that renews a lease given out again."""
+        lease = await client.grant_lease(4.0)
+        await store.restore(store.copy())
+        await client.read_all()
+        store.calls.clear()
+        with self.assertRaises(LeaseLost):
+            await client.renew_lease(lease)
+        with self.assertRaises(LeaseLost):
+            await client.put("hosts/a", b"1", lease)
+        self.assertEqual(store.calls, [])
+
+    @with_routes
+    async def test_registration_waits_for_renewal(self, world):
+        """Guards against hosts that are unregistered until their next renewal."""
+        await world.store.revoke_leases()
+        copy = world.store.copy()
+        await world.clock.sleep(4)
+        await world.store.restore(copy)
+        await world.clock.sleep(0.5)
+        keys = {f"hosts/host-{number}" for number in range(3)}
+        self.assertLessEqual(keys, world.store.keys())
+
+    @with_routes
+    async def test_registered_host_is_forgotten(self, world):
+        """Guards against a host that is dropped before it has registered again."""
+        await world.store.revoke_leases()
+        copy = world.store.copy()
+        await world.clock.sleep(4)
+        dead = world.hosts.pop()
+        await dead.close()
+        await world.store.restore(copy)
+        for seconds, kept in ((1, True), (4, False)):
+            await world.clock.sleep(seconds)
+            for host in world.hosts:
+                registered = host.hosts.registered()
+                self.assertEqual(dead.membership.local_host in registered, kept)
+
 
 class ReplicaTest(TestCase):
     async def calls_of(self, world, replica):
