Restore the store from a copy in the soak

Even seeds, which have faults of the store, restore it once from a copy that is 1 to 6 s old, and write again what operators and replicas wrote. The other steps of a seed stay as they were. Entries of replicas are counted, as real ones are.

--- a/sassafraskeel/emulators/store.py
+++ b/sassafraskeel/emulators/store.py
@@ -14,6 +14,8 @@
 PROTECTED_PREFIXES = ("op/", "servers/")
 # Path at which tests write as the operator or a replica; faults do not apply to it.
 OPERATOR_PATH = "/test/key"
+# PUT keeps a copy of the store, POST restores it.
+COPY_PATH = "/test/copy"
 ERA_HEADER = b"Store-Era"
 FIRST_LEASE = 1000
 
@@ -48,6 +50,7 @@
         self._lease_seconds: dict[int, float] = {}
         self._next_lease = FIRST_LEASE
         self._changed = curio.Event()
+        self._kept_copy: StoreCopy | None = None
         self.era: int | None = 1
         self.revision = 1
         self.error_status = 0
@@ -143,6 +146,8 @@
             removes = request.method == "DELETE"
             await self.write(request.query["key"], None if removes else request.body)
             return json_reply({"revision": self.revision})
+        if request.path == COPY_PATH:
+            return await self._handle_copy(request.method)
         self.calls.append(f"{request.method} {request.path}")
         await self._expire_leases()
         if self.silent:
@@ -157,6 +162,15 @@
             return await self._apply_transaction(request)
         return await self._handle_lease(request)
 
+    async def _handle_copy(self, method: str) -> Reply:
+        if method == "PUT":
+            self._kept_copy = self.copy()
+        elif self._kept_copy is None:
+            return json_reply({"error": "no copy"}, 404)
+        else:
+            await self.restore(self._kept_copy)
+        return json_reply({"revision": self.revision})
+
     def _range(self, request) -> Reply:
         prefix, after = request.query.get("pathPrefix", ""), request.query.get("after")
         keys = sorted(key for key in self._items if key.startswith(prefix))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,8 @@
 MAX_FAULT_SECONDS = 5.0
 LIMIT_START_SECONDS = 0.5
 HOST_KINDS = ("kill", "stop", "pause")
+# A restored store lacks what was written in the last seconds.
+MIN_COPY_SECONDS, MAX_COPY_SECONDS = 1.0, 6.0
 LINK_KINDS = ("delay", "reset", "silence", "one_way", "refuse")
 
 
@@ -45,7 +47,10 @@
         duration = rng.uniform(0.3, MAX_FAULT_SECONDS)
         steps.append(_choose_step(rng, at, duration, targets, has_operations))
         at += rng.uniform(0.2, 2.5)
-    return [_choose_limit(seed, seconds, targets), *steps]
+    steps.append(_choose_limit(seed, seconds, targets))
+    if not has_operations:
+        steps.append(_choose_restore(seed, seconds))
+    return sorted(steps, key=lambda step: step.at)
 
 
 def _choose_limit(seed: int, seconds: float, targets: Targets) -> Step:
@@ -58,6 +63,14 @@
     return Step(LIMIT_START_SECONDS, "limit", target, duration, rate)
 
 
+def _choose_restore(seed: int, seconds: float) -> Step:
+    """Return a restore of the store from a copy that is made at the step's time."""
+    rng = random.Random(f"restore-{seed}")
+    duration = rng.uniform(MIN_COPY_SECONDS, MAX_COPY_SECONDS)
+    at = rng.uniform(START_SECONDS, max(seconds - duration, START_SECONDS))
+    return Step(at, "restore", "store", duration)
+
+
 def _choose_step(rng, at, duration, targets: Targets, has_operations: bool) -> Step:
     family = rng.choice(("host", "replica", "replica", "other"))
     if family == "host":
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from sassafraskeel.core.net import Address, TcpNetwork, parse_address
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
+from sassafraskeel.emulators.store import COPY_PATH
 from soak.callers import Caller
 from soak.checks import (
     DRAIN_SECONDS,
@@ -78,6 +79,8 @@
         self._drained_replicas: set[str] = set()
         self._stale_directory_entries: list[str] = []
         self._limited: list[LimitedSpan] = []
+        # The last writes of operators and replicas, by key.
+        self._written: dict[str, bytes | None] = {}
         self._version = 1
         self._faults_ended_at = 0.0
         # Unknown until the last fault has ended.
@@ -178,6 +181,8 @@
             await self._run_operation(step)
         elif step.kind == "limit":
             await self._limit_replica(step)
+        elif step.kind == "restore":
+            await self._restore_store(step)
         elif step.kind == "reset":
             await self._proxies[step.target].reset()
         else:
@@ -227,6 +232,20 @@
             LimitedSpan(step.target, step.rate, since, until, ledger["arrival_times"])
         )
 
+    async def _restore_store(self, step: Step) -> None:
+        """Restore the store from a copy, and write again what was written since."""
+        await self._wait_until("copy of the store", lambda: self._use_copy("PUT"))
+        await self._clock.sleep(step.duration)
+        await self._wait_until("restored store", lambda: self._use_copy("POST"))
+        for key in list(self._written):
+            await self._wait_until(
+                key, lambda key=key: self._write(key, self._written[key])
+            )
+
+    async def _use_copy(self, method: str) -> bool:
+        head, _ = await self._fetch(self._cluster.store, method, COPY_PATH)
+        return head is not None and head.status == 200
+
     async def _run_operation(self, step: Step) -> None:
         if step.kind == "manifest":
             self._version += 1
@@ -318,6 +337,7 @@
         return self._proxy_addresses[name]
 
     async def _write(self, key: str, value: bytes | None) -> bool:
+        self._written[key] = value
         method = "DELETE" if value is None else "PUT"
         path = f"/test/key?key={quote(key)}"
         head, _ = await self._fetch(self._cluster.store, method, path, value or b"")
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -1,6 +1,7 @@
 """Runs route hosts, replicas and a store as processes on loopback."""
 
 import http.client
+import itertools
 import json
 import signal
 import subprocess
@@ -18,6 +19,7 @@
 READY_SECONDS = 20.0
 STOP_SECONDS = 15.0
 HOST_NAME = "app.example"
+ENTRY_NUMBERS = itertools.count(1)
 SETTINGS = """[host]
 name = {name}
 domain = {zone}
@@ -259,7 +261,7 @@
         "slots": 8,
         "state": state,
         "coldRemainingMs": 0,
-        "seqNo": 1,
+        "seqNo": next(ENTRY_NUMBERS),
         "born": 1,
     }
     return json.dumps(content).encode()
