--- a/tools/route_demo.py
+++ b/tools/route_demo.py
@@ -9,6 +9,7 @@
 
 from sassafraskeel.decisions.request_limits import BURST
 from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
+from sassafraskeel.emulators.store import COPY_PATH
 from tools.route_cluster import RouteCluster, call, fetch, replica_entry
 
 ZONES = {"serra-a": (2, 2), "campos-a": (2, 1), "planalto-a": (1, 1)}
@@ -72,6 +73,14 @@
     return passed and count <= allowed
 
 
+def restore_store(cluster: RouteCluster) -> None:
+    """Restore the store from a copy that lacks a version of the manifest."""
+    fetch(cluster.store, "PUT", COPY_PATH)
+    cluster.write("op/config", cluster.manifest(2))
+    time.sleep(LEARN_SECONDS)
+    fetch(cluster.store, "POST", COPY_PATH)
+
+
 def set_limit(replica, limit: str) -> None:
     """Set the limit that a replica names in its answers."""
     fetch(replica.address, "PUT", LIMIT_PATH, body=limit.encode())
@@ -97,6 +106,8 @@
         replica = cluster.replicas[0]
         cluster.write(f"servers/{replica.name}", replica_entry(replica, "draining"))
         passed &= run_phase(cluster, cluster.hosts, f"{replica.name} draining")
+        restore_store(cluster)
+        passed &= run_phase(cluster, cluster.hosts, "store restored from a copy")
         cluster.stop("store", 9)
         passed &= run_phase(cluster, cluster.hosts, "store killed")
         status = cluster.stop(others[0].name)
