Start without asking peers where the store names no era

Hosts that were started in rolling stops served up to 0.7 s later, because they waited for the manifest of hosts in other regions. A store that names no era is never restored, and its manifest is the newest.

--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -17,6 +17,7 @@
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.store.feed import ChangeFeed
 from sassafraskeel.store.interface import (
+    NO_ERA,
     UNREAD,
     Change,
     ChangeBatch,
@@ -114,7 +115,7 @@
         self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
-        if not self._fleet.version:
+        if not self._fleet.version and batch.revision.era != NO_ERA:
             # The store may have been restored to an older manifest than peers have.
             document = await self._manifests.ask(self._listed_hosts(batch))
             await self.apply_document(document)
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -18,7 +18,9 @@
         return {"era": self.era, "revision": self.number}
 
 
-UNREAD = StoreRevision(0, 0)
+# The era of a store that names none, and is therefore never restored.
+NO_ERA = 0
+UNREAD = StoreRevision(NO_ERA, 0)
 
 
 class Lease(NamedTuple):
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -149,6 +149,16 @@
         await world.clock.sleep(5)
         self.assertEqual(world.hosts[3].fleet.version, 5)
 
+    @with_routes
+    async def test_start_waits_for_peers(self, world):
+        """Guards against a late start where the store can't have been restored."""
+        world.store.era = None
+        world.network.faults.cut(["host-3"], ["host-0", "host-1", "host-2"])
+        world.hosts.append(world.build_host(3, "north-a"))
+        await world.hosts[3].start()
+        await world.clock.sleep(0.2)
+        self.assertEqual(await world.ready(3), 200)
+
     @with_routes
     async def test_malformed_manifest_of_peer(self, world):
         """Guards against a malformed manifest of a peer that is taken."""
