--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -80,6 +80,7 @@
         320, Level.WARNING, "request limit of a replica is malformed"
     )
     RESUME_FAILED = EventSpec(321, Level.INFO, "attempt to resume a stream failed")
+    REPLICA_OUTDATED = EventSpec(322, Level.INFO, "older entry of a replica ignored")
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
@@ -90,6 +91,10 @@
     HOST_REGISTERED = EventSpec(408, Level.INFO, "host registered in the store")
     LEASE_ENDED = EventSpec(409, Level.WARNING, "host lease ended")
     HOST_LISTED = EventSpec(410, Level.INFO, "host registration changed")
+    STORE_RESTORED = EventSpec(411, Level.WARNING, "store was restored from a copy")
+    MANIFEST_UNANSWERED = EventSpec(
+        412, Level.INFO, "manifest of a peer could not be read"
+    )
     PEER_CONNECTED = EventSpec(501, Level.INFO, "control link opened")
     PEER_LOST = EventSpec(502, Level.WARNING, "control link lost")
     PEER_REJECTED = EventSpec(503, Level.WARNING, "peer connection rejected")
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -12,14 +12,17 @@
 # their entries about every second, and an entry lapses after three missed intervals.
 OUTAGE_SECONDS = 1.0
 MAX_REPLICAS = 8192
+# Replicas that left, remembered so that a copy of the store does not bring them back.
+MAX_DEPARTED = 1024
 
 
 class Replica(NamedTuple):
     """The entry of a replica in the store, for one run of the replica.
 
-    `started_at_ms` is the start of the run in Unix milliseconds. `cold_until` and
-    `terminates_at` are in monotonic seconds; `terminates_at` is set when the platform
-    reclaims the replica at short notice.
+    `started_at_ms` is the start of the run in Unix milliseconds, and `sequence` rises
+    with each entry of a run; 0 stands for unknown. `cold_until` and `terminates_at` are
+    in monotonic seconds; `terminates_at` is set when the platform reclaims the replica
+    at short notice.
     """
 
     name: str
@@ -31,24 +34,29 @@
     draining: bool
     cold_until: float = 0.0
     terminates_at: float | None = None
+    sequence: int = 0
 
 
 class Fleet:
     """The manifest in force, the replicas and the evacuated zones.
 
-    A replica whose entry lapsed during an outage of the store stays in use for
-    LAPSE_GRACE_SECONDS after the store has recovered. At most MAX_REPLICAS replicas
-    are kept; further ones are ignored.
+    A replica whose entry lapsed during an outage of the store, or is missing after the
+    store was restored from a copy, stays in use for LAPSE_GRACE_SECONDS. So does an
+    evacuation that is missing after a restore. At most MAX_REPLICAS replicas are kept;
+    further ones are ignored.
     """
 
     def __init__(self, regions: dict[str, str]):
         self._regions = regions
         self._replicas: dict[str, Replica] = {}
         self._evacuated: set[str] = set()
+        self._evacuated_until: dict[str, float] = {}
         self._missing_until: dict[str, float] = {}
+        self._departed: dict[str, Replica] = {}
         self._suspected_cold_until: dict[str, float] = {}
         self._unreachable_since: float | None = None
         self._recovered_at: float | None = None
+        self._restored_at: float | None = None
         self.table: RouteTable | None = None
         # Incremented when the set of replicas that take new work may have changed.
         self.changes = 0
@@ -91,6 +99,7 @@
         When the evacuation ends, the replicas of the zone may have become cold.
         """
         self.changes += 1
+        self._evacuated_until.pop(zone, None)
         if evacuated:
             changed = zone not in self._evacuated
             self._evacuated.add(zone)
@@ -103,12 +112,44 @@
                 self.mark_cold(replica.name, now)
         return True
 
+    def retain_evacuated(self, zones: set[str], now: float) -> None:
+        """Let the evacuations end that a complete list omits; see `ended_evacuations`.
+
+        After a restore they last until operators have had time to write them again.
+        """
+        end = now
+        if self._restored_at is not None:
+            end = self._restored_at + LAPSE_GRACE_SECONDS
+        for zone in self._evacuated - zones:
+            self._evacuated_until.setdefault(zone, end)
+
+    def ended_evacuations(self, now: float) -> list[str]:
+        """Return the evacuated zones whose evacuation was not written again in time."""
+        return [zone for zone, until in self._evacuated_until.items() if now >= until]
+
+    def is_outdated(self, replica: Replica) -> bool:
+        """Return whether an entry is older than what is known of a run of a replica.
+
+        A store that was restored from a copy lists such entries.
+        """
+        if not replica.started_at_ms or not replica.sequence:
+            return False
+        known = self._replicas.get(replica.name)
+        if known is not None:
+            is_same_run = known.started_at_ms == replica.started_at_ms
+            return is_same_run and replica.sequence < known.sequence
+        departed = self._departed.get(replica.name)
+        if departed is None or departed.started_at_ms != replica.started_at_ms:
+            return False
+        return replica.sequence <= departed.sequence
+
     def update(self, replica: Replica) -> Replica | None:
         """Store the entry of a replica; return the previous one, or None."""
         known = self._replicas.get(replica.name)
         if known is None and len(self._replicas) >= MAX_REPLICAS:
             return None
         self._missing_until.pop(replica.name, None)
+        self._departed.pop(replica.name, None)
         self.changes += 1
         if known is not None and known.started_at_ms != replica.started_at_ms:
             self._suspected_cold_until.pop(replica.name, None)
@@ -128,6 +169,10 @@
             self._missing_until.setdefault(name, grace_end)
             self.changes += 1
             return False
+        self._departed.pop(name, None)
+        self._departed[name] = self._replicas[name]
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
         self._drop(name)
         return True
 
@@ -159,6 +204,10 @@
             self._recovered_at = now
         self._unreachable_since = None
 
+    def store_restored(self, now: float) -> None:
+        """Record that the store was restored, with or without a noticed outage."""
+        self._recovered_at = self._restored_at = now
+
     def mark_cold(self, name: str, now: float) -> None:
         """Treat a replica as cold from now on, because it may have restarted."""
         replica = self._replicas.get(name)
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -28,6 +28,7 @@
     Hello,
     Intent,
     LinkClosing,
+    ManifestDocument,
     Notice,
     Offer,
     OrderLookup,
@@ -108,8 +109,7 @@
     67: Placed,
     68: CallProgress,
     69: LinkClosing,
-    70: FeedRequest,
-    71: FeedChanges,
+    # 70 and 71 were FeedRequest and FeedChanges without the era of the store.
     # 72 and 73 were heartbeats without the limits that replicas named.
     74: ReplicaReservation,
     75: ReservationReply,
@@ -118,6 +118,9 @@
     78: RouteHeartbeatReply,
     # 80 was DrainNotice without the capacity of the host.
     81: DrainNotice,
+    82: FeedRequest,
+    83: FeedChanges,
+    84: ManifestDocument,
     85: RouteOffer,
 }
 MESSAGE_NUMBERS = {
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -13,7 +13,8 @@
 class Hello(NamedTuple):
     """The first message on a connection, sent by both ends.
 
-    `purpose` is "control" or "calls".
+    `purpose` is "control", "calls" or "manifest"; to the last one, the accepting end
+    answers with a ManifestDocument after its hello.
     """
 
     host: HostInfo
@@ -283,25 +284,35 @@
 class FeedRequest(NamedTuple):
     """Requests the changes of the store after a revision, as soon as there are some.
 
+    `after` is a revision of `era`.
+
     It is answered by FeedChanges, or by Refuse if the receiver does not follow the
-    store itself or no longer has these changes.
+    store itself, no longer has these changes or knows another era.
     """
 
+    era: int
     after: int
 
 
 class FeedChanges(NamedTuple):
-    """Changes of the store up to `revision`.
+    """Changes of the store up to `revision`, all of one `era`.
 
     A row of `changes` holds a key, its value as bytes or None, and the revision of the
     change. `age` is the age of the store's last answer to the sender in seconds.
     """
 
+    era: int
     changes: list
     revision: int
     age: float
 
 
+class ManifestDocument(NamedTuple):
+    """The document of the manifest in force on the sender, empty if there is none."""
+
+    data: bytes
+
+
 class RouteOffer(NamedTuple):
     """The header of a forwarded call of a route; answered by Accept or Refuse.
 
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -58,7 +58,9 @@
         """
         key, value = change.key, change.value
         if key == wire.MANIFEST_KEY:
-            return ManifestAccepted(decode_manifest(value)) if value else None
+            if not value:
+                return None
+            return ManifestAccepted(self.decode_manifest(value), value)
         if key.startswith(wire.EVACUATION_PREFIX):
             zone = key.removeprefix(wire.EVACUATION_PREFIX)
             return ZoneEvacuationChanged(zone, value is not None)
@@ -79,6 +81,10 @@
             return CrashTableListed(name, decode_crash_table(value, now))
         return None
 
+    def decode_manifest(self, document: bytes) -> Manifest:
+        """Decode the document of a manifest; raise MalformedDocument."""
+        return decode_manifest(document)
+
     def encode_host(self, host: HostInfo) -> tuple[str, bytes]:
         """Return the key and the value of a host's registration."""
         return wire.HOST_PREFIX + host.name, json.dumps(host).encode()
@@ -122,7 +128,8 @@
     # The time for which the replica stays cold, not the time since its start.
     cold_ms = content.get("coldRemainingMs", 0)
     started_at_ms = content.get("born", 0)
-    numbers = [content.get("slots"), cold_ms, started_at_ms]
+    sequence = content.get("seqNo", 0)
+    numbers = [content.get("slots"), cold_ms, started_at_ms, sequence]
     if remaining_ms is not None:
         numbers.append(remaining_ms)
     if any(not _is_number(number) for number in numbers):
@@ -147,6 +154,7 @@
         draining=DRAINING_BY_STATE[state],
         cold_until=now + cold_ms / 1000 if cold_ms > 0 else 0.0,
         terminates_at=None if remaining_ms is None else now + remaining_ms / 1000,
+        sequence=int(sequence),
     )
 
 
--- a/sassafraskeel/platform/store_client.py
+++ b/sassafraskeel/platform/store_client.py
@@ -3,7 +3,9 @@
 import base64
 import binascii
 import json
-from urllib.parse import quote, urlencode
+import re
+from typing import NamedTuple
+from urllib.parse import urlencode
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
@@ -17,7 +19,14 @@
 )
 from sassafraskeel.core.http_client import ClientConnection, connect
 from sassafraskeel.core.net import Address, Network
-from sassafraskeel.store.interface import Change, ChangeBatch
+from sassafraskeel.core.types import ResponseHead
+from sassafraskeel.platform import wire
+from sassafraskeel.store.interface import (
+    Change,
+    ChangeBatch,
+    Lease,
+    StoreRevision,
+)
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 2
@@ -25,90 +34,126 @@
 CALL_TIMEOUT_SECONDS = 1.5
 # A silent connection is detected after the time of the watch plus this time.
 WATCH_GRACE_SECONDS = 1.0
+ERA_NUMBER = re.compile(r"[0-9]{1,15}")
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
+class _Answer(NamedTuple):
+    era: int
+    content: dict
+
+    def revision(self, name: str) -> StoreRevision:
+        """Return a revision in the answer."""
+        return StoreRevision(self.era, _get_int(self.content, name))
+
+    def changes(self, name: str) -> tuple[Change, ...]:
+        """Return a list of items in the answer as changes."""
+        items = _get_list(self.content, name)
+        return tuple(_decode_change(item, self.era) for item in items)
+
+
 class StoreClient:
-    """Implements Store; concurrent calls use separate connections."""
+    """Implements Store; concurrent calls use separate connections.
+
+    An answer without an era counts as of the last era that was named, 0 before the
+    first one. Answers of older eras count as lost.
+    """
 
     def __init__(self, address: Address, clock: Clock, network: Network):
         self._address = address
         self._clock = clock
         self._network = network
         self._idle_connections: list[ClientConnection] = []
+        self._era = 0
 
     async def read_all(self) -> ChangeBatch:
         changes: list[Change] = []
-        revision, after, more = 0, "", True
+        revision, after, more = None, "", True
         while more:
             query = {"pathPrefix": ""} | ({"after": after} if after else {})
             answer = await self._call("GET", f"/api/kv-range?{urlencode(query)}")
-            items = [_decode_change(item) for item in _get_list(answer, "items")]
+            items = answer.changes("items")
             # The pages are not one snapshot: watch from the revision of the first.
-            revision = revision or _get_int(answer, "asOf")
+            revision = revision or answer.revision("asOf")
+            if answer.era != revision.era:
+                raise PlatformUnavailable("the store was restored between two pages")
             changes += items
-            more = bool(answer.get("hasMore")) and bool(items)
+            more = bool(answer.content.get("hasMore")) and bool(items)
             after = items[-1].key if items else ""
         return ChangeBatch(tuple(changes), revision)
 
-    async def watch(self, after: int, seconds: float) -> ChangeBatch:
-        query = {"pathPrefix": "", "after": after, "waitMs": int(seconds * 1000)}
+    async def watch(self, after: StoreRevision, seconds: float) -> ChangeBatch:
+        wait_ms = int(seconds * 1000)
+        query = {"pathPrefix": "", "after": after.number, "waitMs": wait_ms}
         path = f"/api/kv-watch?{urlencode(query)}"
         try:
             answer = await self._call("GET", path, wait=seconds + WATCH_GRACE_SECONDS)
         except PlatformRefused as exc:
             if exc.status == 410:
-                raise HistoryLost(after) from exc
+                raise HistoryLost(*after) from exc
             raise
-        events = tuple(_decode_change(item) for item in _get_list(answer, "events"))
-        return ChangeBatch(events, _get_int(answer, "asOf"))
+        if answer.era != after.era:
+            raise HistoryLost(*after)
+        return ChangeBatch(answer.changes("events"), answer.revision("asOf"))
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    async def put(
+        self, key: str, value: bytes, lease: Lease | None = None
+    ) -> StoreRevision:
         entry = {"key": key, "value": base64.b64encode(value).decode()}
-        if lease:
-            entry["lease"] = lease
         body = {"expectedRev": [], "puts": [entry], "remove": []}
+        if lease is None:
+            answer = await self._call("POST", "/api/kv-txn", body)
+        else:
+            entry["lease"] = lease.number
+            answer = await self._call_lease(lease, "/api/kv-txn", body)
+        return answer.revision("revision")
+
+    async def remove(self, key: str, revision: StoreRevision) -> None:
+        expected = {"key": key, "revision": revision.number}
+        body = {"expectedRev": [expected], "puts": [], "remove": [key]}
         try:
-            return _get_int(await self._call("POST", "/api/kv-txn", body), "revision")
+            await self._call("POST", "/api/kv-txn", body)
         except PlatformRefused as exc:
-            if exc.status == 404:
-                raise LeaseLost(str(lease)) from exc
             if exc.status == 412:
-                raise CompareFailed(key, 0) from exc
+                raise CompareFailed(key, revision.number) from exc
             raise
 
-    async def grant_lease(self, seconds: float) -> int:
+    async def grant_lease(self, seconds: float) -> Lease:
         body = {"ttlMs": int(seconds * 1000)}
-        return _get_int(await self._call("POST", "/api/kv-lease", body), "lease")
+        answer = await self._call("POST", "/api/kv-lease", body)
+        return Lease(answer.era, _get_int(answer.content, "lease"))
 
-    async def renew_lease(self, lease: int) -> None:
-        await self._call_lease("POST", f"/api/kv-keep/{quote(str(lease))}", lease)
-
-    async def revoke_lease(self, lease: int) -> None:
-        await self._call_lease(
-            "DELETE", f"/api/kv-lease-end/{quote(str(lease))}", lease
-        )
+    async def renew_lease(self, lease: Lease) -> None:
+        await self._call_lease(lease, f"/api/kv-keep/{lease.number}")
 
     async def close(self) -> None:
         """Close the idle connections."""
         while self._idle_connections:
             await self._idle_connections.pop().close()
 
-    async def _call_lease(self, method, path, lease) -> None:
+    async def _call_lease(self, lease: Lease, path, body=None) -> _Answer:
+        """Make a call that uses a lease, unless it is known to be of an older era."""
+        if lease.era != self._era:
+            raise LeaseLost(f"lease {lease.number} is of era {lease.era}")
         try:
-            await self._call(method, path)
+            answer = await self._call("POST", path, body)
         except PlatformRefused as exc:
             if exc.status == 404:
-                raise LeaseLost(str(lease)) from exc
+                raise LeaseLost(str(lease.number)) from exc
             raise
+        if answer.era != lease.era:
+            raise LeaseLost(f"lease {lease.number} is of era {lease.era}")
+        return answer
 
-    async def _call(self, method, path, body=None, wait=0.0) -> dict:
+    async def _call(self, method, path, body=None, wait=0.0) -> _Answer:
         data = b"" if body is None else json.dumps(body).encode()
         try:
             async with self._clock.timeout(CALL_TIMEOUT_SECONDS + wait):
-                status, answer = await self._exchange(method, path, data)
+                head, answer = await self._exchange(method, path, data)
+            era = self._era = self._check_era(head)
         except SassafraskeelError as exc:
             raise PlatformUnavailable(f"{method} {path}: {exc}") from exc
+        status = head.status
         if status in (429, 500, 502, 503, 504):
             raise PlatformUnavailable(f"{method} {path}: status {status}")
         if status != 200:
@@ -119,9 +164,21 @@
             raise PlatformUnavailable(f"{method} {path}: not JSON") from exc
         if not isinstance(content, dict):
             raise PlatformUnavailable(f"{method} {path}: not an object")
-        return content
-
-    async def _exchange(self, method, path, data) -> tuple[int, bytes]:
+        return _Answer(era, content)
+
+    def _check_era(self, head: ResponseHead) -> int:
+        """Return the era of an answer; raise ProtocolError."""
+        values = {value for name, value in head.headers if name == wire.STORE_ERA}
+        if not values:
+            return self._era
+        text = values.pop().decode("latin-1").strip()
+        if values or not ERA_NUMBER.fullmatch(text):
+            raise ProtocolError("the era of the store is malformed")
+        if int(text) < self._era:
+            raise ProtocolError(f"an answer of era {text} came after era {self._era}")
+        return int(text)
+
+    async def _exchange(self, method, path, data) -> tuple[ResponseHead, bytes]:
         conn = self._idle_connections.pop() if self._idle_connections else None
         while conn is not None and not await conn.is_open_and_idle(self._clock):
             await conn.close()
@@ -149,12 +206,12 @@
                 self._idle_connections.append(conn)
             else:
                 await conn.close()
-        return head.status, b"".join(chunks)
+        return head, b"".join(chunks)
 
 
-def _decode_change(item) -> Change:
+def _decode_change(item, era: int) -> Change:
     try:
-        key, revision = str(item["key"]), int(item["revision"])
+        key, revision = str(item["key"]), StoreRevision(era, int(item["revision"]))
         if item.get("removed"):
             return Change(key, None, revision)
         return Change(key, base64.b64decode(item.get("value") or ""), revision)
--- a/sassafraskeel/store/crash_publisher.py
+++ b/sassafraskeel/store/crash_publisher.py
@@ -3,7 +3,7 @@
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import LeaseLost, PlatformRefused, PlatformUnavailable
 from sassafraskeel.decisions.crash_evidence import EXPIRY_SECONDS, CrashEvidence
-from sassafraskeel.store.interface import Store
+from sassafraskeel.store.interface import Lease, Store
 from sassafraskeel.store.updates import DocumentCodec
 
 # Calls to the store are billed, so changes within this time are written together.
@@ -12,6 +12,7 @@
 # A lease this old is renewed after a write. Doing so before each write would keep other
 # regions waiting for one more round trip.
 RENEW_SECONDS = 60.0
+NOT_PUBLISHED = -1
 
 
 class CrashPublisher:
@@ -30,7 +31,7 @@
         self._store = store
         self._codec = codec
         self._clock = clock
-        self._lease = 0
+        self._lease: Lease | None = None
         self._leased_at = 0.0
         self._published = evidence.version
 
@@ -43,13 +44,19 @@
             try:
                 await self._publish()
             except LeaseLost:
-                self._lease = 0
+                self._lease = None
             except (PlatformUnavailable, PlatformRefused):
                 pass  # The store follower logs outages; the write is tried again.
             await self._clock.sleep(MIN_INTERVAL_SECONDS)
 
+    def store_restored(self) -> None:
+        """Publish again, since the store may have an older table or none."""
+        if self._lease is not None:
+            self._lease = None
+            self._published = NOT_PUBLISHED
+
     async def _publish(self) -> None:
-        if not self._lease:
+        if self._lease is None:
             self._leased_at = self._clock.monotonic()
             self._lease = await self._store.grant_lease(EXPIRY_SECONDS)
         now = self._clock.monotonic()
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -11,11 +11,19 @@
 )
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
-from sassafraskeel.decisions.fleet import Fleet
+from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.store.feed import ChangeFeed
-from sassafraskeel.store.interface import Change, ChangeBatch, Store
+from sassafraskeel.store.interface import (
+    NO_ERA,
+    UNREAD,
+    Change,
+    ChangeBatch,
+    Store,
+    StoreRevision,
+)
 from sassafraskeel.store.updates import (
     CrashTableListed,
     CrashTableRemoved,
@@ -23,6 +31,7 @@
     HostListed,
     HostRemoved,
     ManifestAccepted,
+    ManifestSource,
     ReplicaListed,
     ReplicaRemoved,
     ZoneEvacuationChanged,
@@ -57,6 +66,8 @@
         clock: Clock,
         log: LogSink,
         on_change: OnChange,
+        manifests: ManifestSource,
+        on_restore: OnChange,
     ):
         self._store = store
         self._codec = codec
@@ -66,7 +77,12 @@
         self._clock = clock
         self._log = log
         self._on_change = on_change
-        self._revision = 0
+        self._manifests = manifests
+        self._on_restore = on_restore
+        self.manifest_document = b""
+        self._revision = UNREAD
+        self._unlisted_hosts: set[str] = set()
+        self._hosts_kept_until = float("-inf")
         self._unavailable = False
         self.feed = ChangeFeed(clock)
         self.answered_at: float | None = None
@@ -85,7 +101,7 @@
                     await self._watch()
                 backoff = RETRY_MIN_SECONDS
             except HistoryLost:
-                self._log.emit(Event.HISTORY_LOST, revision=self._revision)
+                self._log.emit(Event.HISTORY_LOST, **self._revision.log_fields())
                 resync = True
             except (PlatformUnavailable, PlatformRefused) as exc:
                 self._mark_unavailable(exc)
@@ -94,8 +110,15 @@
 
     async def _read_all(self) -> None:
         batch = await self._store.read_all()
+        if UNREAD.era < self._revision.era < batch.revision.era:
+            await self._handle_restore(batch.revision)
+        self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
+        if not self._fleet.version and batch.revision.era != NO_ERA:
+            # The store may have been restored to an older manifest than peers have.
+            document = await self._manifests.ask(self._listed_hosts(batch))
+            await self.apply_document(document)
         replicas, hosts, zones, crash_tables = set(), set(), set(), set()
         for change in batch.changes:
             update = self._apply(change, now)
@@ -108,16 +131,18 @@
             elif isinstance(update, CrashTableListed):
                 crash_tables.add(update.host)
         for name in self._fleet.retain(replicas, now):
-            self._log.emit(Event.REPLICA_GONE, replica=name, revision=batch.revision)
-        for zone in self._fleet.evacuated - zones:
-            self._apply_evacuation(
-                ZoneEvacuationChanged(zone, False), batch.revision, now
+            self._log.emit(
+                Event.REPLICA_GONE, replica=name, **batch.revision.log_fields()
             )
-        self._hosts.retain(hosts)
+        self._fleet.retain_evacuated(zones, now)
+        registered = {host.name for host in self._hosts.registered()}
+        self._unlisted_hosts = registered - hosts
+        self._expire(batch.revision, now)
         if self._hosts.local_host.name not in crash_tables:
             self._crashes.table_removed(self._hosts.local_host.name)
-        self.feed.reset(batch.revision)
-        await self._complete_batch(batch)
+        await self.feed.reset(batch.revision)
+        if batch.changes:
+            await self._on_change()
 
     async def _watch(self) -> None:
         batch = await self._store.watch(self._revision, WATCH_SECONDS)
@@ -125,17 +150,23 @@
         now = self._clock.monotonic()
         for change in batch.changes:
             self._apply(change, now)
-        for name in self._fleet.expire(now):
-            self._log.emit(Event.REPLICA_GONE, replica=name, revision=batch.revision)
+        self._expire(batch.revision, now)
+        self._revision = max(batch.revision, self._revision)
         await self.feed.add(batch)
-        await self._complete_batch(batch)
         if batch.changes:
+            await self._on_change()
             await self._clock.sleep(COALESCE_SECONDS)
 
-    async def _complete_batch(self, batch: ChangeBatch) -> None:
-        self._revision = max(batch.revision, self._revision)
-        if batch.changes:
-            await self._on_change()
+    def _expire(self, revision: StoreRevision, now: float) -> None:
+        """Drop what a restored or recovered store has not listed again in time."""
+        for name in self._fleet.expire(now):
+            self._log.emit(Event.REPLICA_GONE, replica=name, **revision.log_fields())
+        for zone in self._fleet.ended_evacuations(now):
+            self._apply_evacuation(ZoneEvacuationChanged(zone, False), revision, now)
+        if now >= self._hosts_kept_until:
+            for name in self._unlisted_hosts:
+                self._unregister(name, revision)
+            self._unlisted_hosts.clear()
 
     def _apply(self, change: Change, now: float):
         """Apply one change; a malformed document leaves the last valid one in force."""
@@ -145,18 +176,12 @@
             self._log.emit(
                 Event.DOCUMENT_REJECTED,
                 key=change.key,
-                revision=change.revision,
                 detail=str(exc),
+                **change.revision.log_fields(),
             )
             return None
         if isinstance(update, ManifestAccepted):
-            if self._fleet.accept(update.manifest):
-                self._log.emit(
-                    Event.MANIFEST_INSTALLED,
-                    version=update.manifest.version,
-                    revision=change.revision,
-                    routes=len(update.manifest.routes),
-                )
+            self._install(update.manifest, update.document, change.revision)
         elif isinstance(update, ZoneEvacuationChanged):
             self._apply_evacuation(update, change.revision, now)
         elif isinstance(update, ReplicaListed | ReplicaRemoved):
@@ -166,30 +191,81 @@
         elif isinstance(update, CrashTableRemoved):
             self._crashes.table_removed(update.host)
         elif isinstance(update, HostListed):
+            self._unlisted_hosts.discard(update.host.name)
             previous = self._hosts.register(update.host)
             if previous != update.host:
-                self._log_host(update.host.name, update.host.incarnation, change)
-        elif isinstance(update, HostRemoved) and self._hosts.unregister(update.name):
-            self._log_host(update.name, "", change)
+                host = update.host
+                self._log_host(host.name, host.incarnation, change.revision)
+        elif isinstance(update, HostRemoved):
+            self._unregister(update.name, change.revision)
         return update
 
+    async def apply_document(self, document: bytes, peer: str = "") -> None:
+        """Apply the manifest of another host, unless it is older or malformed.
+
+        Without the replicas of the store, a host with a manifest could not serve.
+        """
+        if not document or self._revision == UNREAD:
+            return
+        try:
+            manifest = self._codec.decode_manifest(document)
+        except MalformedDocument as exc:
+            self._log.emit(Event.DOCUMENT_REJECTED, peer=peer, detail=str(exc))
+            return
+        if self._install(manifest, document, self._revision, source="peer"):
+            await self._on_change()
+
+    def _install(self, manifest, document, revision, source="store") -> bool:
+        if not self._fleet.accept(manifest):
+            return False
+        self.manifest_document = document
+        self._log.emit(
+            Event.MANIFEST_INSTALLED,
+            version=manifest.version,
+            routes=len(manifest.routes),
+            source=source,
+            **revision.log_fields(),
+        )
+        return True
+
+    def _listed_hosts(self, batch: ChangeBatch) -> list[HostInfo]:
+        """Return the hosts in a batch; malformed documents are logged later."""
+        hosts = []
+        for change in batch.changes:
+            try:
+                update = self._codec.decode(change, 0.0)
+            except MalformedDocument:
+                continue
+            if isinstance(update, HostListed):
+                hosts.append(update.host)
+        return hosts
+
     def _apply_evacuation(self, update: ZoneEvacuationChanged, revision, now) -> None:
         if self._fleet.set_evacuated(update.zone, update.evacuated, now):
             self._log.emit(
                 Event.ZONE_EVACUATION,
                 zone=update.zone,
                 evacuated=update.evacuated,
-                revision=revision,
+                **revision.log_fields(),
             )
 
     def _apply_replica(self, update: ReplicaListed | ReplicaRemoved, revision, now):
         if isinstance(update, ReplicaRemoved):
             if self._fleet.remove(update.name, now):
                 self._log.emit(
-                    Event.REPLICA_GONE, replica=update.name, revision=revision
+                    Event.REPLICA_GONE, replica=update.name, **revision.log_fields()
                 )
             return
         replica = update.replica
+        if self._fleet.is_outdated(replica):
+            self._log.emit(
+                Event.REPLICA_OUTDATED,
+                replica=replica.name,
+                draining=replica.draining,
+                sequence=replica.sequence,
+                **revision.log_fields(),
+            )
+            return
         previous = self._fleet.update(replica)
         if previous is None or (previous.started_at_ms, previous.draining) != (
             replica.started_at_ms,
@@ -201,18 +277,36 @@
                 service=replica.service,
                 zone=replica.zone,
                 draining=replica.draining,
+                sequence=replica.sequence,
                 cold=replica.cold_until > now,
-                revision=revision,
+                **revision.log_fields(),
             )
 
-    def _log_host(self, name, incarnation, change) -> None:
+    def _unregister(self, name: str, revision: StoreRevision) -> None:
+        if self._hosts.unregister(name):
+            self._log_host(name, "", revision)
+
+    def _log_host(self, name, incarnation, revision) -> None:
         self._log.emit(
             Event.HOST_LISTED,
             name=name,
             incarnation=incarnation,
-            revision=change.revision,
+            **revision.log_fields(),
         )
 
+    async def _handle_restore(self, revision: StoreRevision) -> None:
+        """Keep what the copy lacks until it was written again."""
+        now = self._clock.monotonic()
+        self._fleet.store_restored(now)
+        self._hosts_kept_until = now + LAPSE_GRACE_SECONDS
+        self._log.emit(
+            Event.STORE_RESTORED,
+            previous_era=self._revision.era,
+            previous_revision=self._revision.number,
+            **revision.log_fields(),
+        )
+        await self._on_restore()
+
     def _record_answer(self) -> None:
         now = self._clock.monotonic()
         self.answered_at = now
@@ -220,12 +314,14 @@
         self._hosts.store_answered(now)
         if self._unavailable:
             self._unavailable = False
-            self._log.emit(Event.PLATFORM_UP, revision=self._revision)
+            self._log.emit(Event.PLATFORM_UP, **self._revision.log_fields())
 
     def _mark_unavailable(self, exc) -> None:
         self._fleet.store_unreachable(self._clock.monotonic())
         if not self._unavailable:
             self._unavailable = True
             self._log.emit(
-                Event.PLATFORM_DOWN, detail=str(exc), revision=self._revision
+                Event.PLATFORM_DOWN,
+                detail=str(exc),
+                **self._revision.log_fields(),
             )
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -3,19 +3,46 @@
 from typing import NamedTuple, Protocol
 
 
+class StoreRevision(NamedTuple):
+    """A point in the history of a store; points are ordered by era, then by number.
+
+    The era rises when the store is restored from a copy, and the numbers after that of
+    the copy are then given out again.
+    """
+
+    era: int
+    number: int
+
+    def log_fields(self) -> dict[str, int]:
+        """Return the fields of a log line."""
+        return {"era": self.era, "revision": self.number}
+
+
+# The era of a store that names none, and is therefore never restored.
+NO_ERA = 0
+UNREAD = StoreRevision(NO_ERA, 0)
+
+
+class Lease(NamedTuple):
+    """A lease of one era; its number may be given out again in another one."""
+
+    era: int
+    number: int
+
+
 class Change(NamedTuple):
     """The write of a key, or its removal if `value` is None."""
 
     key: str
     value: bytes | None
-    revision: int
+    revision: StoreRevision
 
 
 class ChangeBatch(NamedTuple):
-    """Changes, and the revision of the store up to which they are complete."""
+    """Changes of one era, and the revision up to which they are complete."""
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: StoreRevision
 
 
 class Store(Protocol):
@@ -24,23 +51,26 @@
     async def read_all(self) -> ChangeBatch:
         """Return all items as changes, and the revision from which to watch."""
 
-    async def watch(self, after: int, seconds: float) -> ChangeBatch:
+    async def watch(self, after: StoreRevision, seconds: float) -> ChangeBatch:
         """Return the changes after a revision, waiting at most `seconds` for the first.
 
-        Raises HistoryLost if the store no longer has the changes after `after`.
+        Raises HistoryLost if the store no longer has the changes after `after`, or was
+        restored since.
         """
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
-        """Write a key, under a lease unless it is 0, and return the new revision.
+    async def put(
+        self, key: str, value: bytes, lease: Lease | None = None
+    ) -> StoreRevision:
+        """Write a key, under a lease if there is one, and return the new revision.
 
-        Raises LeaseLost if the lease has ended.
+        Raises LeaseLost if the lease has ended or is of an older era.
         """
 
-    async def grant_lease(self, seconds: float) -> int:
-        """Grant a lease for some seconds and return its id."""
+    async def remove(self, key: str, revision: StoreRevision) -> None:
+        """Remove a key; raise CompareFailed unless `revision` is its last change."""
 
-    async def renew_lease(self, lease: int) -> None:
-        """Renew a lease; raise LeaseLost if it has ended."""
+    async def grant_lease(self, seconds: float) -> Lease:
+        """Grant a lease for some seconds."""
 
-    async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease, which removes its keys; raise LeaseLost if it has ended."""
+    async def renew_lease(self, lease: Lease) -> None:
+        """Renew a lease; raise LeaseLost if it has ended or is of an older era."""
