Let the emulated platform be restored from a copy

`PlatformEmulator.copy` and `restore` bring earlier values, leases, host list and directory back; revisions and fencing numbers then continue from those of the copy. All answers name the epoch of the store in the header Store-Epoch, which rises by one with each restore, since neither a revision nor a fencing number tells two histories apart. Conditional writes and watches may name the epoch that they refer to. No client does so yet.

--- a/sassafraskeel/emulators/platform.py
+++ b/sassafraskeel/emulators/platform.py
@@ -1,6 +1,7 @@
 """Emulated key-value service, host list and directory of the platform."""
 
 from collections import Counter
+from typing import NamedTuple
 
 import curio
 
@@ -11,6 +12,16 @@
 MAX_VALUE_BYTES = 1_000_000
 WATCH_POLL_SECONDS = 0.05
 MAX_WEIGHT_LOADS = 1000
+EPOCH_HEADER = b"store-epoch"
+
+
+class StoreCopy(NamedTuple):
+    """The contents of the service at some time."""
+
+    values: dict[str, tuple[object, int]]
+    leases: dict[str, tuple[str, int, float]]
+    hosts: dict[str, str]
+    directory: dict[str, dict]
 
 
 class PlatformEmulator:
@@ -18,8 +29,12 @@
 
     Faults: `down` answers every request with 503, `delay` is a time in seconds
     before each answer, and `lose_answers` counts the next writes that take effect
-    without an answer. `weight_interval` is the minimum time in seconds between two
-    loads of model weights.
+    without an answer. `restore` brings an earlier copy back. `weight_interval` is the
+    minimum time in seconds between two loads of model weights.
+
+    A header of each answer names the epoch, which rises by one with each restore. A
+    conditional write that names another epoch fails like one that names another
+    revision, and a watch that names another epoch ends at once.
     """
 
     def __init__(self, clock: Clock, network: Network, address: Address):
@@ -30,6 +45,7 @@
         self.directory: dict[str, dict] = {}
         self.hosts: dict[str, str] = {}
         self.calls = Counter()
+        self.epoch = 1
         self.down = False
         self.delay = 0.0
         self.lose_answers = 0
@@ -49,6 +65,23 @@
         """Stop serving."""
         await self._server.close()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents for a later `restore`."""
+        return StoreCopy(
+            dict(self.values),
+            dict(self.leases),
+            dict(self.hosts),
+            dict(self.directory),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the contents by those of a copy and begin a new epoch.
+
+        Revisions and fencing numbers continue from those of the copy.
+        """
+        self.values, self.leases, self.hosts, self.directory = map(dict, copy)
+        self.epoch += 1
+
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
         if request.path == "/faults":
@@ -62,7 +95,8 @@
         if request.method != "GET" and self.lose_answers > 0:
             self.lose_answers -= 1
             return Reply(close_unanswered=True)
-        return reply
+        epoch = (EPOCH_HEADER, str(self.epoch).encode())
+        return reply._replace(headers=(*reply.headers, epoch))
 
     async def _route(self, request: Request) -> Reply:
         _, resource, *rest = request.path.split("/", 2)
@@ -91,7 +125,8 @@
         expires = self._clock.monotonic() + float(request.query.get("wait", "0"))
         while True:
             value, revision = self.values.get(key, (None, 0))
-            if revision > after or self._clock.monotonic() >= expires:
+            over = revision > after or self._clock.monotonic() >= expires
+            if over or not self._is_epoch_of(request):
                 return json_reply({"value": value, "revision": revision})
             await self._clock.sleep(WATCH_POLL_SECONDS)
 
@@ -99,11 +134,16 @@
         revision = self.values.get(key, (None, 0))[1]
         if len(request.body) > MAX_VALUE_BYTES:
             return json_reply({"error": "value too large"}, 413)
-        if revision != int(request.query["revision"]):
+        is_same = revision == int(request.query["revision"])
+        if not is_same or not self._is_epoch_of(request):
             return json_reply({"revision": revision}, 409)
         self.values[key] = (request.json(), revision + 1)
         return json_reply({"revision": revision + 1})
 
+    def _is_epoch_of(self, request) -> bool:
+        """Return whether a request names the current epoch or none."""
+        return int(request.query.get("epoch", self.epoch)) == self.epoch
+
     def _acquire_lease(self, name, claim) -> Reply:
         holder, fence, expires = self.leases.get(name, ("", 0, 0.0))
         now = self._clock.monotonic()
