Do not give out a fencing number again after a restore

Engine control went wrong after the platform's store was restored from a copy: two lease holders had the same fencing number, so that engines that check it took the commands of both; or the numbers began below what the engines had seen, so that they refused every command while the holder renewed its lease. A holder of the copy also renewed a lease that another host had held since, and did not wait for the commands of that host.

The number counted within one history of the store only. It now has the store's epoch in its upper bits, so that it rises over a restore as well, and a renewal in another epoch shows a new number, as after an expired lease. Engines still compare one integer. Hosts of before this change have lower numbers: engines refuse their commands once a newer host has sent one.

--- a/sassafraskeel/store/key_value.py
+++ b/sassafraskeel/store/key_value.py
@@ -10,12 +10,17 @@
     PlatformUnavailable,
     SassafraskeelError,
 )
+from sassafraskeel.core.http import find_header
 from sassafraskeel.core.http_client import request_once
 from sassafraskeel.core.net import Network
 from sassafraskeel.core.settings import PlatformSection
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_ANSWER_BYTES = 4 * MAX_VALUE_BYTES
+EPOCH_HEADER = b"store-epoch"
+# A restored store gives out the fencing numbers of its copy again. With the epoch in
+# the upper bits, a number never repeats, and engines compare a single integer.
+FENCE_BITS = 32
 
 
 class Entry(NamedTuple):
@@ -26,7 +31,10 @@
 
 
 class Lease(NamedTuple):
-    """A granted lease; its `seconds` run from the time of the request."""
+    """A granted lease; its `seconds` run from the time of the request.
+
+    `fence` is unique and increases also over restores of the store.
+    """
 
     name: str
     holder: str
@@ -34,6 +42,14 @@
     seconds: float
 
 
+class StoreAnswer(NamedTuple):
+    """An answer of the platform; `epoch` rises with each restore of its store."""
+
+    status: int
+    content: object
+    epoch: int
+
+
 class KeyValueStore(Protocol):
     """The key-value service; every method may raise PlatformUnavailable."""
 
@@ -65,13 +81,11 @@
         return self._decode_entry(await self._call("GET", f"/kv/{key}"))
 
     async def put(self, key: str, value: object, revision: int) -> int:
-        status, answer = await self._call(
-            "PUT", f"/kv/{key}?revision={revision}", value
-        )
-        if status == 409:
-            raise CompareFailed(key, answer["revision"])
-        self._check_status(status, answer)
-        return answer["revision"]
+        path = f"/kv/{key}?revision={revision}"
+        answer = await self._call("PUT", path, value)
+        if answer.status == 409:
+            raise CompareFailed(key, answer.content["revision"])
+        return self._content_of(answer)["revision"]
 
     async def watch(self, key: str, revision: int, seconds: float) -> Entry:
         path = f"/kv/{key}?after={revision}&wait={seconds:g}"
@@ -79,47 +93,43 @@
 
     async def acquire_lease(self, name: str, holder: str, seconds: float) -> Lease:
         request = {"holder": holder, "seconds": seconds}
-        status, answer = await self._call("POST", f"/leases/{name}", request)
-        self._check_status(status, answer)
-        return Lease(name, holder, answer["fence"], seconds)
+        answer = await self._call("POST", f"/leases/{name}", request)
+        number = self._content_of(answer)["fence"]
+        return Lease(name, holder, answer.epoch << FENCE_BITS | number, seconds)
 
     async def hosts(self) -> dict[str, str]:
         """Return the state (`live` or `leaving`) of the listed hosts.
 
         The list lags behind the actual state.
         """
-        status, answer = await self._call("GET", "/hosts")
-        self._check_status(status, answer)
-        return answer
+        return self._content_of(await self._call("GET", "/hosts"))
 
     async def reserve_weights(self, model: str) -> float:
         """Reserve one load of a model; return 0, or the seconds to wait if busy."""
-        status, answer = await self._call("POST", f"/weights/{model}", {})
-        if status == 429:
-            return float(answer["retry_after_s"])
-        self._check_status(status, answer)
+        answer = await self._call("POST", f"/weights/{model}", {})
+        if answer.status == 429:
+            return float(answer.content["retry_after_s"])
+        self._content_of(answer)
         return 0.0
 
     async def set_directory_entry(self, name: str, entry: dict | None) -> None:
         """Set or remove the directory entry of a host."""
-        self._check_status(*await self._call("PUT", f"/directory/{name}", entry))
+        self._content_of(await self._call("PUT", f"/directory/{name}", entry))
 
     async def directory(self) -> dict[str, dict]:
         """Return the directory entries of the hosts."""
-        status, answer = await self._call("GET", "/directory")
-        self._check_status(status, answer)
-        return answer
+        return self._content_of(await self._call("GET", "/directory"))
 
-    def _decode_entry(self, result) -> Entry:
-        status, answer = result
-        self._check_status(status, answer)
-        return Entry(answer["value"], answer["revision"])
+    def _decode_entry(self, answer: StoreAnswer) -> Entry:
+        content = self._content_of(answer)
+        return Entry(content["value"], content["revision"])
 
-    def _check_status(self, status, answer):
-        if status != 200:
-            raise PlatformRefused(status, str(answer))
+    def _content_of(self, answer: StoreAnswer):
+        if answer.status != 200:
+            raise PlatformRefused(answer.status, str(answer.content))
+        return answer.content
 
-    async def _call(self, method, path, value=None, wait=0.0):
+    async def _call(self, method, path, value=None, wait=0.0) -> StoreAnswer:
         body = b"" if method == "GET" else json.dumps(value).encode()
         seconds = self._cfg.timeout.total_seconds() + wait
         try:
@@ -132,9 +142,10 @@
                     body=body,
                     max_bytes=MAX_ANSWER_BYTES,
                 )
-            answer = json.loads(data)
-        except (SassafraskeelError, json.JSONDecodeError) as exc:
+            content = json.loads(data)
+            epoch = int(find_header(head.headers, EPOCH_HEADER) or 0)
+        except (SassafraskeelError, ValueError) as exc:
             raise PlatformUnavailable(f"{method} {path}: {exc}") from exc
         if head.status >= 500:
             raise PlatformUnavailable(f"{method} {path}: status {head.status}")
-        return head.status, answer
+        return StoreAnswer(head.status, content, epoch)
--- /dev/null
+++ b/tests/test_own_store_restored.py
@@ -0,0 +1,142 @@
+"""Tests of the project's own interface with a store that is restored from a copy."""
+
+from unittest import TestCase
+
+from sassafraskeel.core.errors import LeaseLost
+from sassafraskeel.core.log import NullLog
+from sassafraskeel.core.settings import PlatformSection
+from sassafraskeel.emulators.platform import PlatformEmulator
+from sassafraskeel.sheets.model import Fencing
+from sassafraskeel.store.key_value import PlatformClient
+from sassafraskeel.store.leases import HeldLease
+from sassafraskeel.upstreams.control import LEASE_SECONDS, EngineControl
+from tests.support.clock import run_virtual
+from tests.support.network import MemoryNetwork
+from tests.support.upstreams import ANY_PORT, UpstreamFixture
+
+OLD_MODEL, WANTED_MODEL = "m-0", "m-1"
+
+
+class StoreWorld:
+    """The emulated store and its client."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.network = MemoryNetwork()
+        self.platform = PlatformEmulator(clock, self.network, ANY_PORT)
+
+    def client(self):
+        cfg = PlatformSection(address=self.platform.address)
+        return PlatformClient(cfg, self.clock, self.network)
+
+    def lease(self, holder, name="control/s/a"):
+        """Return a lease as a host holds it."""
+        return HeldLease(self.client(), self.clock, name, holder, 30.0)
+
+
+def with_store(test):
+    """Run an async test method with a started store in virtual time."""
+
+    def run(self):
+        async def main(clock):
+            world = StoreWorld(clock)
+            await world.platform.start()
+            try:
+                await test(self, world)
+            finally:
+                await world.platform.close()
+
+        run_virtual(main)
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+class LeaseTest(TestCase):
+    @with_store
+    async def test_lease_of_another_holder_is_renewed(self, world):
+        """Guards against a holder that takes the lease of a later one for its own."""
+        first, second = world.lease("a"), world.lease("b")
+        await first.acquire()
+        copy = world.platform.copy()
+        await world.clock.sleep(31)
+        self.assertTrue(await second.acquire())
+        world.platform.restore(copy)
+        # The store lets restored leases run on, so that their holders can renew them.
+        holder, fence, _ = copy.leases["control/s/a"]
+        expires = world.clock.monotonic() + 30
+        world.platform.leases["control/s/a"] = (holder, fence, expires)
+        # The first holder has to wait for the commands of the second one.
+        self.assertTrue(await first.acquire())
+
+    @with_store
+    async def test_renewal_after_restore(self, world):
+        """Guards against a holder that renews a lease that the store has forgotten."""
+        copy = world.platform.copy()
+        lease = world.lease("a")
+        await lease.acquire()
+        await lease.renew()
+        world.platform.restore(copy)
+        with self.assertRaises(LeaseLost):
+            await lease.renew()
+
+    @with_store
+    async def test_fencing_number_is_given_out_again(self, world):
+        """Guards against two holders that have one fencing number, or a lower one."""
+        copies = [world.platform.copy()]
+        numbers = []
+        for holder in "abc":
+            lease = world.lease(holder)
+            await lease.acquire()
+            numbers.append(lease.fence)
+            copies.append(world.platform.copy())
+            await world.clock.sleep(31)
+        for number, copy in enumerate(reversed(copies)):
+            world.platform.restore(copy)
+            lease = world.lease(f"restored-{number}")
+            await lease.acquire()
+            numbers.append(lease.fence)
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+
+class RestoredControlTest(TestCase):
+    def control(self, world, fixture, holder):
+        """Return the engine control of a host."""
+        return EngineControl(
+            "a",
+            holder,
+            world.clock,
+            fixture.network,
+            NullLog(),
+            lambda: fixture.sheet,
+            fixture.reports,
+            world.client(),
+        )
+
+    @with_store
+    async def test_engines_refuse_lower_fencing_numbers(self, world):
+        """Guards against engines that refuse all commands after a restore."""
+        fixture = UpstreamFixture(
+            world.clock, engines=3, model=OLD_MODEL, fencing=True, load_seconds=2.0
+        )
+        await fixture.start()
+        try:
+            for name, upstream in fixture.sheet.upstreams.items():
+                entry = upstream._replace(fencing=Fencing.CHECKED)
+                fixture.sheet.upstreams[name] = entry
+            copy = world.platform.copy()
+            for holder in "acd":
+                lease = world.lease(holder, "control/chat/a")
+                await lease.acquire()
+                await world.clock.sleep(31)
+            for engine in fixture.engines:
+                engine.control.fence = lease.fence
+            world.platform.restore(copy)
+            control = self.control(world, fixture, "b")
+            await fixture.group.spawn(control.run)
+            await world.clock.sleep(4 * LEASE_SECONDS)
+            models = {engine.control.model for engine in fixture.engines}
+            self.assertEqual(models, {WANTED_MODEL})
+        finally:
+            await fixture.close()
