Compare the store's epoch in conditional writes

After a restore of the platform's store, a write that compares a revision could replace a value that its writer had never seen, since the revision was given out again: an accepted sheet was overwritten by one that was checked against another head and the operator of the first was not told, a head was written whose text was gone, and an agreement to a change of the view replaced a newer record.

A revision named a write within one history of the store only. `Revision` is now the ordered pair of epoch and number, wherever one is kept. Conditional writes name the epoch and fail in another one; a watch from another epoch ends at once, so that views and sheets of a restored store are seen without waiting for its time. The operator of a write across a restore gets SheetConflict, and accepts again.

The store in the tests of precedence and the restore in tests.support.faults now begin a new epoch, and the latter restores leases, host list and directory as well.

--- a/sassafraskeel/store/key_value.py
+++ b/sassafraskeel/store/key_value.py
@@ -23,11 +23,22 @@
 FENCE_BITS = 32
 
 
+class Revision(NamedTuple):
+    """The epoch of the store and the number of a key's writes; ordered as a pair.
+
+    A restored store gives out the numbers after its copy again, in a later epoch.
+    Number 0 means that the key does not exist.
+    """
+
+    epoch: int
+    number: int
+
+
 class Entry(NamedTuple):
-    """A value with its revision; revision 0 means that the key does not exist."""
+    """A value with its revision."""
 
     value: object
-    revision: int
+    revision: Revision
 
 
 class Lease(NamedTuple):
@@ -56,13 +67,13 @@
     async def get(self, key: str) -> Entry:
         """Return the value and the revision of a key."""
 
-    async def put(self, key: str, value: object, revision: int) -> int:
+    async def put(self, key: str, value: object, revision: Revision) -> Revision:
         """Write a key that is at `revision` and return the new revision.
 
         Raises CompareFailed if the key is at another revision.
         """
 
-    async def watch(self, key: str, revision: int, seconds: float) -> Entry:
+    async def watch(self, key: str, revision: Revision, seconds: float) -> Entry:
         """Return the entry once the key is past `revision`, or after `seconds`."""
 
     async def acquire_lease(self, name: str, holder: str, seconds: float) -> Lease:
@@ -80,15 +91,16 @@
     async def get(self, key: str) -> Entry:
         return self._decode_entry(await self._call("GET", f"/kv/{key}"))
 
-    async def put(self, key: str, value: object, revision: int) -> int:
-        path = f"/kv/{key}?revision={revision}"
+    async def put(self, key: str, value: object, revision: Revision) -> Revision:
+        path = f"/kv/{key}?revision={revision.number}&epoch={revision.epoch}"
         answer = await self._call("PUT", path, value)
         if answer.status == 409:
             raise CompareFailed(key, answer.content["revision"])
-        return self._content_of(answer)["revision"]
+        return Revision(answer.epoch, self._content_of(answer)["revision"])
 
-    async def watch(self, key: str, revision: int, seconds: float) -> Entry:
-        path = f"/kv/{key}?after={revision}&wait={seconds:g}"
+    async def watch(self, key: str, revision: Revision, seconds: float) -> Entry:
+        query = f"after={revision.number}&epoch={revision.epoch}&wait={seconds:g}"
+        path = f"/kv/{key}?{query}"
         return self._decode_entry(await self._call("GET", path, wait=seconds))
 
     async def acquire_lease(self, name: str, holder: str, seconds: float) -> Lease:
@@ -122,7 +134,8 @@
 
     def _decode_entry(self, answer: StoreAnswer) -> Entry:
         content = self._content_of(answer)
-        return Entry(content["value"], content["revision"])
+        revision = Revision(answer.epoch, content["revision"])
+        return Entry(content["value"], revision)
 
     def _content_of(self, answer: StoreAnswer):
         if answer.status != 200:
--- a/sassafraskeel/store/sheet_store.py
+++ b/sassafraskeel/store/sheet_store.py
@@ -37,7 +37,7 @@
 from sassafraskeel.sheets.model import Sheet
 from sassafraskeel.sheets.parse import compute_digest, parse_sheet
 from sassafraskeel.sheets.plan import check_plan, plan_change
-from sassafraskeel.store.key_value import MAX_VALUE_BYTES, KeyValueStore
+from sassafraskeel.store.key_value import MAX_VALUE_BYTES, KeyValueStore, Revision
 
 HEAD_KEY = "sheet/head"
 KEPT_VERSIONS = 50
@@ -59,7 +59,7 @@
     lineage: Lineage
     base: Stamp | None
     delta: bytes
-    revision: int
+    revision: Revision
 
     @property
     def stamp(self) -> Stamp:
@@ -76,7 +76,7 @@
     base_text: str = ""
 
 
-EMPTY_HEAD = SheetHead(0, "", (), None, b"", 0)
+EMPTY_HEAD = SheetHead(0, "", (), None, b"", Revision(0, 0))
 
 
 def text_key(version: int) -> str:
@@ -84,7 +84,7 @@
     return f"sheet/{version}"
 
 
-def decode_head(value, revision: int) -> SheetHead:
+def decode_head(value, revision: Revision) -> SheetHead:
     """Decode a stored head; raise ProtocolError if it is malformed."""
     if value is None:
         return EMPTY_HEAD._replace(revision=revision)
@@ -152,7 +152,7 @@
     )
     accepted = await publish_sheet(store, head, head.version + 1, publication)
     if head.version:
-        await _prune(store, head.version, accepted.version)
+        await _prune(store, head, accepted.version)
     return accepted.version
 
 
@@ -211,9 +211,9 @@
         raise InvalidInput([Fault("sheet", 1, "", "too long", allowed)])
     for candidate in range(version, version + MAX_VERSION_TRIES):
         entry = await store.get(text_key(candidate))
-        if entry.revision == 0:
+        if entry.revision.number == 0:
             try:
-                await store.put(text_key(candidate), value, 0)
+                await store.put(text_key(candidate), value, entry.revision)
                 return candidate
             except (CompareFailed, PlatformUnavailable):
                 # Another host wrote first, or the answer to this write was lost.
@@ -240,14 +240,15 @@
     }
 
 
-async def _prune(store, previous, version) -> None:
+async def _prune(store, previous: SheetHead, version: int) -> None:
     """Empty the texts of versions older than the last KEPT_VERSIONS."""
-    first = max(1, previous - KEPT_VERSIONS + 1)
+    first = max(1, previous.version - KEPT_VERSIONS + 1)
     last = min(version - KEPT_VERSIONS, first + KEPT_VERSIONS)
+    # A text is written only once, so its revision is 1 until it is emptied.
+    written_once = previous.revision._replace(number=1)
     for number in range(first, last + 1):
         try:
-            # A text is written only once, so its revision is 1 until it is emptied.
-            await store.put(text_key(number), None, 1)
+            await store.put(text_key(number), None, written_once)
         except SassafraskeelError:
             continue  # The sheet is accepted; a text that stays only takes up space.
 
--- a/sassafraskeel/store/view_follower.py
+++ b/sassafraskeel/store/view_follower.py
@@ -10,7 +10,7 @@
 from sassafraskeel.decisions.orders import OrderContext, drop_unassigned_records
 from sassafraskeel.decisions.view_state import Step, StepKind
 from sassafraskeel.decisions.views import from_json, to_json
-from sassafraskeel.store.key_value import Entry, KeyValueStore
+from sassafraskeel.store.key_value import Entry, KeyValueStore, Revision
 
 # A read confirms the view for the duration of a promise (3 s), counted from the time
 # the read was sent, which leaves time for a watch of one second.
@@ -45,7 +45,7 @@
         self._log = log
         self._hand_over = hand_over
         self._rejoin = rejoin
-        self._revision = -1
+        self._revision: Revision | None = None
         self._pruned_view_number = 0
         self.answered_at = clock.monotonic()
 
@@ -84,7 +84,7 @@
 
     async def _read(self) -> Entry:
         view = self._context.view_state.view
-        if self._revision < 0 or (view is not None and view.next is not None):
+        if self._revision is None or (view is not None and view.next is not None):
             return await self._store.get(self._key)
         return await self._store.watch(self._key, self._revision, WATCH_SECONDS)
 
@@ -102,6 +102,6 @@
                 return
             self._context.view_state.mark_agreed()
             self._log.emit(Event.VIEW_AGREED, view=step.view.number)
-        self._revision = -1
+        self._revision = None
         await self._store.put(self._key, to_json(step.view), entry.revision)
         self._log.emit(Event.VIEW_CHANGE, view=step.view.number, step=step.kind.value)
--- a/tests/support/faults.py
+++ b/tests/support/faults.py
@@ -58,11 +58,11 @@
     """Restores the platform to an older state."""
 
     def __init__(self, world: Deployment):
-        self.values = dict(world.platform.values)
+        self.copy = world.platform.copy()
 
     async def begin(self, world):
         await world.clock.sleep(world.rng.uniform(0, 10))
-        world.platform.values = dict(self.values)
+        world.platform.restore(self.copy)
 
     async def end(self, world):
         pass
--- a/tests/support/store.py
+++ b/tests/support/store.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from sassafraskeel.core.errors import CompareFailed, PlatformUnavailable
-from sassafraskeel.store.key_value import Entry
+from sassafraskeel.store.key_value import Entry, Revision
 
 
 class MemoryStore:
@@ -11,13 +11,15 @@
 
     `down` fails every call and `silent` leaves watches without an answer.
     `lose_requests` counts the next writes that are lost before they take effect, and
-    `lose_answers` the next writes that take effect without an answer.
+    `lose_answers` the next writes that take effect without an answer. `restore` brings
+    earlier values back in a new epoch.
     """
 
     def __init__(self, clock, rng):
         self._clock = clock
         self._rng = rng
         self.values = {}
+        self.epoch = 1
         self.calls = Counter()
         self.down = False
         self.silent = False
@@ -25,9 +27,17 @@
         self.lose_requests = 0
         self.max_delay = 0.05
 
+    def restore(self, values):
+        self.values = dict(values)
+        self.epoch += 1
+
+    def entry(self, key):
+        value, revision = self.values.get(key, Entry(None, Revision(0, 0)))
+        return Entry(value, revision._replace(epoch=self.epoch))
+
     async def get(self, key):
         await self._delay_request("get")
-        entry = self.values.get(key, Entry(None, 0))
+        entry = self.entry(key)
         await self._delay_answer()
         return entry
 
@@ -36,15 +46,16 @@
         if self.lose_requests:
             self.lose_requests -= 1
             raise PlatformUnavailable("request lost")
-        current_revision = self.values.get(key, Entry(None, 0)).revision
+        current_revision = self.entry(key).revision
         if current_revision != revision:
-            raise CompareFailed(key, current_revision)
-        self.values[key] = Entry(value, revision + 1)
+            raise CompareFailed(key, current_revision.number)
+        new_revision = revision._replace(number=revision.number + 1)
+        self.values[key] = Entry(value, new_revision)
         if self.lose_answers:
             self.lose_answers -= 1
             raise PlatformUnavailable("answer lost")
         await self._delay_answer()
-        return revision + 1
+        return new_revision
 
     async def watch(self, key, revision, seconds):
         await self._delay_request("watch")
@@ -52,7 +63,7 @@
         while True:
             if self.down:
                 raise PlatformUnavailable("down")
-            entry = self.values.get(key, Entry(None, 0))
+            entry = self.entry(key)
             over = entry.revision > revision or self._clock.monotonic() >= expires
             if over and not self.silent:
                 return entry
--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -2,18 +2,28 @@
 
 from unittest import TestCase
 
-from sassafraskeel.core.errors import LeaseLost
+import curio
+
+from sassafraskeel.core.errors import LeaseLost, SheetConflict
 from sassafraskeel.core.log import NullLog
-from sassafraskeel.core.settings import PlatformSection
+from sassafraskeel.core.settings import OrderSection, PlatformSection
+from sassafraskeel.decisions.ledger import Ledger
+from sassafraskeel.decisions.orders import OrderContext
+from sassafraskeel.decisions.view_state import ViewState
+from sassafraskeel.decisions.views import View, ViewMember, from_json, propose, to_json
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.sheets.model import Fencing
 from sassafraskeel.store.key_value import PlatformClient
 from sassafraskeel.store.leases import HeldLease
+from sassafraskeel.store.sheet_store import HEAD_KEY, accept_sheet, read_head, read_text
+from sassafraskeel.store.view_follower import ViewFollower
 from sassafraskeel.upstreams.control import LEASE_SECONDS, EngineControl
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 from tests.support.upstreams import ANY_PORT, UpstreamFixture
+from tests.test_precedence import sheet_text
 
+VIEW_KEY = "views/a"
 OLD_MODEL, WANTED_MODEL = "m-0", "m-1"
 
 
@@ -100,6 +110,86 @@
         self.assertEqual(numbers, sorted(set(numbers)))
 
 
+class AcceptanceTest(TestCase):
+    async def accept_beside(self, world, between):
+        """Accept a sheet; run `between` right before its head is written."""
+        store = world.client()
+        put = store.put
+
+        async def put_later(key, value, revision):
+            if key == HEAD_KEY:
+                store.put = put
+                await between()
+            return await put(key, value, revision)
+
+        store.put = put_later
+        return await accept_sheet(store, sheet_text(20))
+
+    @with_store
+    async def test_accepted_sheet_is_overwritten_after_restore(self, world):
+        """Guards against a sheet that replaces one accepted in a restored store."""
+        await accept_sheet(world.client(), sheet_text(1))
+        copy = world.platform.copy()
+        await accept_sheet(world.client(), sheet_text(2))
+
+        async def restore():
+            world.platform.restore(copy)
+            await accept_sheet(world.client(), sheet_text(10))
+
+        with self.assertRaises(SheetConflict):
+            await self.accept_beside(world, restore)
+        head = world.platform.values[HEAD_KEY][0]
+        self.assertEqual(len(head["lineage"]), 2)
+
+    @with_store
+    async def test_head_without_text_after_restore(self, world):
+        """Guards against a head in the restored store whose text was lost."""
+        await accept_sheet(world.client(), sheet_text(1))
+        copy = world.platform.copy()
+
+        async def restore():
+            world.platform.restore(copy)
+
+        with self.assertRaises(SheetConflict):
+            await self.accept_beside(world, restore)
+        await accept_sheet(world.client(), sheet_text(20))
+        text = await read_text(world.client(), await read_head(world.client()))
+        self.assertEqual(text, sheet_text(20))
+
+
+class ViewWriteTest(TestCase):
+    @with_store
+    async def test_view_is_overwritten_after_restore(self, world):
+        """Guards against an agreement that replaces a view of a restored store."""
+        members = tuple(ViewMember(name, f"{name}-0", name) for name in "abc")
+        view = View(7, members)
+        changes = [
+            propose(view, members[:2], "b-0", "remove-c"),
+            propose(view, members[::2], "c-0", "remove-b"),
+        ]
+        copy = world.platform.copy()
+        copy.values[VIEW_KEY] = (to_json(view), 4)
+        world.platform.values[VIEW_KEY] = (to_json(changes[0]), 5)
+
+        async def hand_over():
+            context.view_state.freeze()
+            world.platform.restore(copy)
+            entry = await world.client().get(VIEW_KEY)
+            await world.client().put(VIEW_KEY, to_json(changes[1]), entry.revision)
+
+        context = OrderContext(
+            ViewState(OrderSection(), members[0]), Ledger(OrderSection())
+        )
+        follower = ViewFollower(
+            "a", context, world.client(), world.clock, NullLog(), hand_over, None
+        )
+        task = await curio.spawn(follower.run)
+        await world.clock.sleep(2.0)
+        await task.cancel()
+        found = from_json(world.platform.values[VIEW_KEY][0])
+        self.assertEqual(found, changes[1])
+
+
 class RestoredControlTest(TestCase):
     def control(self, world, fixture, holder):
         """Return the engine control of a host."""
--- a/tests/test_precedence.py
+++ b/tests/test_precedence.py
@@ -233,7 +233,7 @@
     @precondition(lambda self: self.snapshots)
     @rule(data=st.data(), settle=st.booleans())
     def restore_backup(self, data, settle):
-        self.store.values = dict(data.draw(st.sampled_from(self.snapshots)))
+        self.store.restore(data.draw(st.sampled_from(self.snapshots)))
         self.restored = True
         self._forget_lost()
         if settle:
