Do not put an earlier sheet in force after a restore

After a restore of the store, an operator who repeated the accepted sheets could bring an older one back: its version differed from the first time, so that the hosts took it for a sheet accepted after the restore and gave it a new version. The newest sheet, repeated next, was then refused as one that had been replaced, so that the older one stayed in force.

`sheet accept` refuses an earlier sheet by the lineage of the head, which the store had lost; the hosts, which still had it, compared whole stamps only. They compare the content now and publish their sheet again.

test_repeated_sheet_replaces_a_later_one failed before. test_earlier_sheet_that_is_wanted_again passed before; it shows that the option still holds.

--- a/sassafraskeel/decisions/precedence.py
+++ b/sassafraskeel/decisions/precedence.py
@@ -29,8 +29,9 @@
 class HeadAction(StrEnum):
     """What a host does about the head that it read.
 
-    REPUBLISH: the store was restored to an older state. RENUMBER: a sheet was accepted
-    after such a restore under a version that was already in use.
+    REPUBLISH: the store was restored to an older state, or an earlier sheet was written
+    there again. RENUMBER: a sheet was accepted after such a restore under a version
+    that was already in use.
     """
 
     KEEP = "keep"
@@ -68,10 +69,13 @@
     return tuple(sorted({item for each in lineages for item in each}))[-MAX_LINEAGE:]
 
 
-def decide_head_action(lineage: Lineage, head: Stamp | None) -> HeadAction:
+def decide_head_action(
+    lineage: Lineage, head: Stamp | None, again: bool = False
+) -> HeadAction:
     """Return the action for a head.
 
-    The last stamp of `lineage` is that of the sheet in force at this host.
+    The last stamp of `lineage` is that of the sheet in force at this host. `again`
+    tells that an operator wants the head although it may have been replaced before.
     """
     if not lineage:
         return HeadAction.INSTALL if head else HeadAction.KEEP
@@ -82,6 +86,9 @@
         return HeadAction.INSTALL
     if head is None or head in lineage or head.version < lineage[0].version:
         return HeadAction.REPUBLISH
+    if not again and any(item.digest == head.digest for item in lineage[:-1]):
+        # The acceptance would have been refused, but the store had lost the lineage.
+        return HeadAction.REPUBLISH
     return HeadAction.RENUMBER
 
 
--- a/sassafraskeel/store/sheet_follower.py
+++ b/sassafraskeel/store/sheet_follower.py
@@ -143,7 +143,7 @@
 
     def _decide_action(self, head: SheetHead) -> HeadAction:
         head_stamp = head.stamp if head.version else None
-        return decide_head_action(self._installed.lineage, head_stamp)
+        return decide_head_action(self._installed.lineage, head_stamp, head.again)
 
     async def _install(self, head: SheetHead) -> None:
         if not self._installed.should_install(head.version):
--- a/sassafraskeel/store/sheet_store.py
+++ b/sassafraskeel/store/sheet_store.py
@@ -51,7 +51,8 @@
 class SheetHead(NamedTuple):
     """The head of the sheet; `delta` turns the text of `base` into its text.
 
-    `revision` is the revision of the key, for a compare-and-swap.
+    `revision` is the revision of the key, for a compare-and-swap. `again` tells that
+    the sheet was accepted with that option.
     """
 
     version: int
@@ -60,6 +61,7 @@
     base: Stamp | None
     delta: bytes
     revision: Revision
+    again: bool = False
 
     @property
     def stamp(self) -> Stamp:
@@ -74,6 +76,7 @@
     lineage: Lineage
     base: Stamp | None = None
     base_text: str = ""
+    again: bool = False
 
 
 EMPTY_HEAD = SheetHead(0, "", (), None, b"", Revision(0, 0))
@@ -93,7 +96,13 @@
         lineage = tuple(parse_stamp(item) for item in value["lineage"])
         delta = base64.b64decode(value["delta"], validate=True)
         return SheetHead(
-            int(value["version"]), str(value["digest"]), lineage, base, delta, revision
+            int(value["version"]),
+            str(value["digest"]),
+            lineage,
+            base,
+            delta,
+            revision,
+            value.get("again") is True,
         )
     except (KeyError, TypeError, ValueError, binascii.Error) as exc:
         raise ProtocolError(f"the head of the sheet is malformed: {exc}") from exc
@@ -149,6 +158,7 @@
         head.lineage,
         head.stamp if current else None,
         current.text if current else "",
+        again,
     )
     accepted = await publish_sheet(store, head, head.version + 1, publication)
     if head.version:
@@ -237,6 +247,7 @@
         "lineage": [str(item) for item in merge_lineages(tuple(older), (new_stamp,))],
         "base": str(publication.base) if delta else "",
         "delta": base64.b64encode(delta).decode(),
+        "again": publication.again,
     }
 
 
