Install a sheet whose version was rejected before a restore

A host that had rejected a sheet, as one of a newer release with columns that it can't read, left out the sheet that was accepted under the same version after a restore of the store, until the next version.

The host remembered the version that it had rejected, and a restored store gives that version to another sheet. It compares the content as well now, for the head and for sheets of peers. A heartbeat names a version only; a peer's sheet under the rejected version then comes with the peer's announcement.

test_version_of_a_rejected_sheet failed before: all hosts kept the first sheet.

--- a/sassafraskeel/gateways/sheets.py
+++ b/sassafraskeel/gateways/sheets.py
@@ -76,7 +76,7 @@
                 last_stamp = peer_stamp
                 delta = self._delta_for(NO_STAMP if send_complete else peer_stamp)
                 peer_stamp = await self._request_stamp(link, delta)
-            if self._installed.should_install(peer_stamp.version):
+            if self._installed.should_install(*peer_stamp):
                 await self._start_pull(link)
         except SassafraskeelError:
             return  # After a lost link, a pong on the next one makes the peer pull.
@@ -131,7 +131,7 @@
 
     async def _install(self, peer: HostInfo, delta: SheetDelta) -> bool:
         """Install the sheet of a peer; return False if the delta does not apply."""
-        if not self._installed.should_install(delta.version):
+        if not self._installed.should_install(delta.version, delta.digest):
             return True
         lineage = tuple(parse_stamp(item) for item in delta.lineage)
         try:
--- a/sassafraskeel/sheets/installed.py
+++ b/sassafraskeel/sheets/installed.py
@@ -41,9 +41,15 @@
         """Return the sheet in force."""
         return self.current
 
-    def should_install(self, version: int) -> bool:
-        """Return whether a version is newer than the installed and rejected ones."""
-        return version > max(self.version, self.rejected.version)
+    def should_install(self, version: int, digest: str = "") -> bool:
+        """Return whether a sheet is newer than the installed one and not rejected.
+
+        Without a digest, all versions up to the rejected one count as rejected. A
+        restored store gives the rejected version to another sheet.
+        """
+        if not digest:
+            return version > max(self.version, self.rejected.version)
+        return version > self.version and stamp(version, digest) != self.rejected
 
     def install(
         self, version: int, text: str, source: str, lineage: Lineage = ()
@@ -58,7 +64,8 @@
         try:
             sheet = parse_sheet(text, f"version {version}", version, self._row_cache)
         except InvalidInput as exc:
-            self.rejected = max(self.rejected, stamp(version, compute_digest(text)))
+            if version >= self.rejected.version:
+                self.rejected = stamp(version, compute_digest(text))
             detail = "; ".join(map(str, exc.faults[:3]))
             self._log.emit(
                 Event.SHEET_REJECTED,
--- a/sassafraskeel/store/sheet_follower.py
+++ b/sassafraskeel/store/sheet_follower.py
@@ -146,7 +146,7 @@
         return decide_head_action(self._installed.lineage, head_stamp, head.again)
 
     async def _install(self, head: SheetHead) -> None:
-        if not self._installed.should_install(head.version):
+        if not self._installed.should_install(*head.stamp):
             return
         try:
             text = await self._fetch_text(head)
--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -254,6 +254,18 @@
         await world.accept(2, again=True)
         self.assertEqual(world.texts(), {sheet_text(2)})
 
+    @with_sheets
+    async def test_version_of_a_rejected_sheet(self, world):
+        """Guards against a sheet that is left out for a version rejected before."""
+        await world.accept(1)
+        copy = dict(world.store.values)
+        for node in world.nodes.values():
+            node.installed.install(2, "not a sheet", "platform")
+            self.assertEqual(node.installed.rejected.version, 2)
+        world.restore(copy)
+        self.assertEqual(await world.accept(2), 2)
+        self.assertEqual(world.texts(), {sheet_text(2)})
+
 
 class ViewWriteTest(TestCase):
     @with_store
