Wait again before a removal is activated in a restored store

A host could be removed from the view, and its orders run by the remaining ones, while it still ran orders itself: the copy of a restored store may hold a change that was abandoned since, and a member that had seen the change before the restore counted its wait from then, although the removed host had confirmed its view by a read without the change in between.

The wait covers the reads that may have confirmed the view before the proposal was seen; a restore lets such a read follow the proposal. The wait now starts again with each epoch of the store.

test_activation_waits_again_after_restore failed before (activated 6 s after the change was first seen). The simulation of orders gives its platform epochs, and compares them in its writes, as the store does.

--- a/sassafraskeel/decisions/view_state.py
+++ b/sassafraskeel/decisions/view_state.py
@@ -60,6 +60,7 @@
         self, cfg: OrderSection, local_member: ViewMember, view: View | None = None
     ):
         self._cfg = cfg
+        self._epoch = 0
         self._reset(local_member, view)
         self._promise = cfg.promise.total_seconds()
         self._removal_wait = (cfg.promise + cfg.margin).total_seconds()
@@ -135,6 +136,15 @@
         fresh = now < self._read_at + self._promise
         return settled and fresh and self._read_number == self.number
 
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of the store that answered a read."""
+        is_restored = 0 < self._epoch < epoch
+        self._epoch = max(self._epoch, epoch)
+        if is_restored:
+            # Members may have confirmed their view by the restored store, which may
+            # lack the proposed change, so the wait before its activation starts again.
+            self._change_seen = ("", 0, 0.0)
+
     def record_platform_read(
         self, view: View | None, sent_at: float, now: float
     ) -> None:
--- a/sassafraskeel/store/view_follower.py
+++ b/sassafraskeel/store/view_follower.py
@@ -67,6 +67,7 @@
         self.answered_at = self._clock.monotonic()
         view = from_json(entry.value)
         previous_number = view_state.number
+        view_state.record_epoch(entry.revision.epoch)
         if view is not None:
             view_state.record_platform_read(view, sent_at, self._clock.monotonic())
         if view_state.number != previous_number:
--- a/tests/support/orders.py
+++ b/tests/support/orders.py
@@ -12,6 +12,7 @@
 from sassafraskeel.decisions.ownership import check_date, parse_order_id
 from sassafraskeel.decisions.view_state import StepKind, ViewState
 from sassafraskeel.decisions.views import ViewMember, from_json, to_json
+from sassafraskeel.store.key_value import Revision
 
 START = datetime(2026, 1, 5, 6, 0, tzinfo=UTC)
 TICK = 0.5
@@ -61,6 +62,7 @@
         if not sim.reaches_platform(self):
             return
         current, revision = from_json(json.loads(sim.value)), sim.revision
+        view_state.record_epoch(revision.epoch)
         if current is not None:
             view_state.record_platform_read(current, sim.now, sim.now)
         if view_state.number != self.pruned_view and orders.drop_unassigned_records(
@@ -196,7 +198,7 @@
     def __init__(self, slots=4):
         self.cfg = OrderSection()
         self.now = 1000.0
-        self.value, self.revision = "null", 0
+        self.value, self.revision = "null", Revision(1, 0)
         self.history = [("null", 0)]
         self.runs = 0
         self.hosts = [None] * slots
@@ -246,13 +248,15 @@
     def swap(self, value, revision):
         """Write the platform's value by compare-and-swap."""
         if revision == self.revision:
-            self.value, self.revision = json.dumps(value), revision + 1
-            self.history.append((self.value, self.revision))
+            self.value = json.dumps(value)
+            self.revision = revision._replace(number=revision.number + 1)
+            self.history.append((self.value, self.revision.number))
 
     def restore(self, back):
-        """Restore the platform to the state of `back` writes ago."""
-        self.value, self.revision = self.history[max(0, len(self.history) - 1 - back)]
-        self.history.append((self.value, self.revision))
+        """Restore the platform to the state of `back` writes ago in a new epoch."""
+        self.value, number = self.history[max(0, len(self.history) - 1 - back)]
+        self.revision = Revision(self.revision.epoch + 1, number)
+        self.history.append((self.value, number))
 
     def partition(self, group, platform):
         """Cut the links between a group of slots and the others.
--- a/tests/test_orders_machine.py
+++ b/tests/test_orders_machine.py
@@ -11,6 +11,7 @@
     run_state_machine_as_test,
 )
 
+from sassafraskeel.store.key_value import Revision
 from tests.support.orders import Simulation
 
 SLOTS = 4
@@ -256,7 +257,7 @@
         self.send_everywhere(sim, [sim.new_id() for _ in range(10)])
         sim.kill(0)
         sim.kill(1)
-        sim.value, sim.revision = "null", 0
+        sim.value, sim.revision = "null", Revision(sim.revision.epoch + 1, 0)
         sim.start(2)
         sim.start(3)
         sim.tick(30)
--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -12,7 +12,14 @@
 from sassafraskeel.decisions.ledger import Ledger
 from sassafraskeel.decisions.orders import OrderContext
 from sassafraskeel.decisions.view_state import ViewState
-from sassafraskeel.decisions.views import View, ViewMember, from_json, propose, to_json
+from sassafraskeel.decisions.views import (
+    View,
+    ViewMember,
+    agree,
+    from_json,
+    propose,
+    to_json,
+)
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.sheets.model import Fencing
 from sassafraskeel.sheets.parse import compute_digest
@@ -23,6 +30,7 @@
 from sassafraskeel.upstreams.control import LEASE_SECONDS, EngineControl
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
+from tests.support.orders import START
 from tests.support.store import MemoryStore
 from tests.support.upstreams import ANY_PORT, UpstreamFixture
 from tests.test_precedence import CONVERGENCE_SECONDS, DOMAINS, Node, sheet_text
@@ -300,6 +308,26 @@
         self.assertEqual(found, changes[1])
 
 
+class RestoredViewTest(TestCase):
+    def test_activation_waits_again_after_restore(self):
+        """Guards against a removal while the removed host reads the restored store."""
+        members = tuple(ViewMember(name, f"{name}-0", name) for name in "ab")
+        state = ViewState(OrderSection(), members[0])
+        change = propose(View(7, members), members[:1], "a-0", "remove-b")
+        change = agree(change, "a-0")
+        for second in (0.0, 4.0):
+            state.record_epoch(1)
+            state.record_platform_read(change, second, second)
+            self.assertIsNone(state.plan(change, second, START))
+        # Between the two epochs the store had no such change for a moment.
+        for second in (4.5, 6.0, 9.0):
+            state.record_epoch(2)
+            state.record_platform_read(change, second, second)
+            self.assertIsNone(state.plan(change, second, START), second)
+        state.record_platform_read(change, 9.6, 9.6)
+        self.assertEqual(state.plan(change, 9.6, START).view.number, 8)
+
+
 class RestoredControlTest(TestCase):
     def control(self, world, fixture, holder):
         """Return the engine control of a host."""
