Test that views are followed over a restore of the store

Two tests of what was sound before: a follower sees a view whose revision is lower than the one it knows, and the members of a view stay in it, and answer new and repeated orders, over an outage of two seconds that ends in a restore.

test_view_of_a_lower_revision fails with a follower that ignores entries unless the number of their revision is higher. test_members_stay_over_a_short_outage was not made to fail.

--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -26,9 +26,10 @@
 from sassafraskeel.store.key_value import Entry, PlatformClient, Revision
 from sassafraskeel.store.leases import HeldLease
 from sassafraskeel.store.sheet_store import HEAD_KEY, accept_sheet, read_head, read_text
-from sassafraskeel.store.view_follower import ViewFollower
+from sassafraskeel.store.view_follower import WATCH_SECONDS, ViewFollower
 from sassafraskeel.upstreams.control import LEASE_SECONDS, EngineControl
 from tests.support.clock import run_virtual
+from tests.support.domain import NORTH, with_orders
 from tests.support.network import MemoryNetwork
 from tests.support.orders import START
 from tests.support.store import MemoryStore
@@ -327,6 +328,51 @@
         state.record_platform_read(change, 9.6, 9.6)
         self.assertEqual(state.plan(change, 9.6, START).view.number, 8)
 
+    @with_orders
+    async def test_members_stay_over_a_short_outage(self, world):
+        """Guards against hosts that leave their view because the store was restored."""
+        members = world.members()
+        copy = world.platform.copy()
+        text = world.new_order_id()
+        self.assertEqual(await world.order(NORTH[2], text), "answered")
+        await world.clock.sleep(5)
+        world.platform.down = True
+        await world.clock.sleep(2)
+        world.platform.restore(copy)
+        world.platform.down = False
+        for _ in range(10):
+            await world.clock.sleep(1)
+            for name in NORTH:
+                self.assertEqual(await world.order(name, text), "answered")
+                fresh = world.new_order_id()
+                self.assertEqual(await world.order(name, fresh), "answered")
+        self.assertEqual(world.members(), members)
+        self.assertEqual(world.runs(text), 1)
+
+
+class FollowTest(TestCase):
+    @with_store
+    async def test_view_of_a_lower_revision(self, world):
+        """Guards against a follower that waits for a revision the store has lost."""
+        members = tuple(ViewMember(name, f"{name}-0", name) for name in "ab")
+        context = OrderContext(
+            ViewState(OrderSection(), members[0]), Ledger(OrderSection())
+        )
+        world.platform.values[VIEW_KEY] = (to_json(View(7, members)), 4)
+        copy = world.platform.copy()
+        world.platform.values[VIEW_KEY] = (to_json(View(7, members)), 20)
+        follower = ViewFollower(
+            "a", context, world.client(), world.clock, NullLog(), None, None
+        )
+        task = await curio.spawn(follower.run)
+        await world.clock.sleep(0.5)
+        world.platform.restore(copy)
+        entry = await world.client().get(VIEW_KEY)
+        await world.client().put(VIEW_KEY, to_json(View(8, members)), entry.revision)
+        await world.clock.sleep(WATCH_SECONDS)
+        await task.cancel()
+        self.assertEqual(context.view_state.number, 8)
+
 
 class RestoredControlTest(TestCase):
     def control(self, world, fixture, holder):
