Record that a removed host may trust a restored view

After a restore of the store, a host that was removed from the view while it was cut off reads the view that still names it, and trusts it after five seconds, the time in which the members of the newer view are expected to publish theirs. If those can't reach the store for longer, both sides run orders.

The machine of orders heals all cuts with each restore, so that it could not meet this.

--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -31,7 +31,7 @@
 from tests.support.clock import run_virtual
 from tests.support.domain import NORTH, with_orders
 from tests.support.network import MemoryNetwork
-from tests.support.orders import START
+from tests.support.orders import START, Simulation
 from tests.support.store import MemoryStore
 from tests.support.upstreams import ANY_PORT, UpstreamFixture
 from tests.test_precedence import CONVERGENCE_SECONDS, DOMAINS, Node, sheet_text
@@ -310,6 +310,28 @@
 
 
 class RestoredViewTest(TestCase):
+    def test_removed_host_reads_its_former_view(self):
+        """Guards against an order that runs at a host that was removed, and again."""
+        sim = Simulation(3)
+        for slot in range(3):
+            sim.start(slot)
+        sim.tick(60)
+        writes = len(sim.history)
+        sim.partition({2}, "out")
+        sim.tick(40)
+        # The members of the newer view do not reach the restored store.
+        sim.cut_platform = {0, 1}
+        sim.restore(len(sim.history) - writes)
+        for _ in range(40):
+            sim.tick(1)
+            for text in [sim.new_id() for _ in range(6)]:
+                for host in sim.alive():
+                    sim.submit(host, text)
+                    sim.finish_attempts()
+        sim.heal()
+        sim.tick(90)
+        self.assertTrue(sim.serves_orders())
+
     def test_activation_waits_again_after_restore(self):
         """Guards against a removal while the removed host reads the restored store."""
         members = tuple(ViewMember(name, f"{name}-0", name) for name in "ab")
