Do not start with an older sheet of a restored store

A host that started while the restored store still showed an older sheet had it in force until its first peer had sent the newer one: some milliseconds in the test, longer over slow links. Meanwhile it could take calls whose data the newer sheet keeps out of its region.

A host that starts knew the store only. It now waits a second for the sheet of a peer before it reads the head, so that a first host of a new deployment has its sheet a second later. If no peer answers within that time, the store decides.

test_host_that_starts_after_restore failed before.

--- a/sassafraskeel/store/sheet_follower.py
+++ b/sassafraskeel/store/sheet_follower.py
@@ -41,6 +41,10 @@
 # to the store grows with the number of domains and not with the number of hosts.
 FALLBACK_READ_SECONDS = 30.0
 WATCH_GRACE_SECONDS = 0.5
+# A host that starts waits this long for the sheet of a peer before it uses that of the
+# store, which may just have been restored to an older one.
+PEER_SHEET_WAIT_SECONDS = 1.0
+PEER_SHEET_POLL_SECONDS = 0.05
 # Upper bound of a random delay before a write, since several domains may notice a
 # restored store at the same time.
 PUBLISH_SPREAD_SECONDS = 0.5
@@ -76,6 +80,7 @@
 
     async def run(self) -> None:
         """Follow the head forever."""
+        await self._wait_for_peer_sheet()
         while True:
             try:
                 head = await read_head(self._store)
@@ -89,6 +94,11 @@
                 self._mark_unavailable(exc)
                 await self._clock.sleep(self._interval)
 
+    async def _wait_for_peer_sheet(self) -> None:
+        expires = self._clock.monotonic() + PEER_SHEET_WAIT_SECONDS
+        while not self._installed.version and self._clock.monotonic() < expires:
+            await self._clock.sleep(PEER_SHEET_POLL_SECONDS)
+
     @property
     def _interval(self) -> float:
         return self._cfg.poll_interval.total_seconds()
--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -29,6 +29,7 @@
 from sassafraskeel.store.view_follower import WATCH_SECONDS, ViewFollower
 from sassafraskeel.upstreams.control import LEASE_SECONDS, EngineControl
 from tests.support.clock import run_virtual
+from tests.support.deployment import HOSTS, Deployment
 from tests.support.domain import NORTH, with_orders
 from tests.support.network import MemoryNetwork
 from tests.support.orders import START, Simulation
@@ -276,6 +277,29 @@
         self.assertEqual(world.texts(), {sheet_text(2)})
 
 
+class StartTest(TestCase):
+    def test_host_that_starts_after_restore(self):
+        """Guards against an older sheet in force on a host that starts meanwhile."""
+
+        async def main(clock):
+            world = Deployment(clock, 1)
+            await world.start(settle=5)
+            copy = world.platform.copy()
+            earlier = world.hosts[HOSTS[0]].installed.stamp
+            await world.accept()
+            await clock.sleep(5)
+            await world.hosts.pop(HOSTS[0]).close()
+            world.platform.restore(copy)
+            await world.start_host(HOSTS[0])
+            await clock.sleep(7)
+            installed = world.hosts[HOSTS[0]].installed
+            await world.close()
+            self.assertEqual(installed.version, 2)
+            self.assertIsNone(installed.text_of(earlier))
+
+        run_virtual(main)
+
+
 class ViewWriteTest(TestCase):
     @with_store
     async def test_view_is_overwritten_after_restore(self, world):
