Keep an upstream leaving when a restored host list shows it live

A leaving upstream got new work again after a restore, for as long as the host list of the platform showed it as live, unless its own report said that it leaves.

Each list replaced the one before.

test_leaving_upstream_is_listed_as_live_again failed before.

--- a/sassafraskeel/upstreams/components.py
+++ b/sassafraskeel/upstreams/components.py
@@ -42,7 +42,7 @@
         group: SupervisedTaskGroup,
     ):
         self._group = group
-        self.leaving = LeavingUpstreams()
+        self.leaving = LeavingUpstreams(clock)
         self.reports = UpstreamReports(
             cfg.upstreams, local_host.domain, clock, network, log, sheet, self.leaving
         )
--- a/tests/test_own_store_restored.py
+++ b/tests/test_own_store_restored.py
@@ -19,7 +19,13 @@
     to_json,
 )
 from sassafraskeel.emulators.platform import PlatformEmulator
-from sassafraskeel.sheets.model import Fencing
+from sassafraskeel.sheets.model import Fencing, Upstream
+from sassafraskeel.store.host_list import (
+    LEAVING_KEPT_SECONDS,
+    POLL_SECONDS,
+    LeavingUpstreams,
+    poll_host_list,
+)
 from sassafraskeel.store.key_value import PlatformClient
 from sassafraskeel.store.leases import HeldLease
 from sassafraskeel.store.sheet_store import HEAD_KEY, accept_sheet, read_head, read_text
@@ -286,6 +292,35 @@
         self.assertEqual(context.view_state.number, 8)
 
 
+class HostListTest(TestCase):
+    @with_store
+    async def test_leaving_upstream_is_listed_as_live_again(self, world):
+        """Guards against new work for a leaving upstream by a restored host list."""
+        upstream = Upstream(
+            "desk-1", "a", ANY_PORT, "desk", 1, 1.0, None, Fencing.CHECKED
+        )
+        leaving = LeavingUpstreams(world.clock)
+
+        async def on_host_list(states):
+            leaving.set_states(states)
+
+        world.platform.hosts["desk-1"] = "live"
+        copy = world.platform.copy()
+        world.platform.hosts["desk-1"] = "leaving"
+        task = await curio.spawn(
+            poll_host_list, world.client(), world.clock, on_host_list
+        )
+        await world.clock.sleep(POLL_SECONDS)
+        self.assertTrue(leaving.is_leaving(upstream))
+        world.platform.restore(copy)
+        await world.clock.sleep(2 * POLL_SECONDS)
+        self.assertTrue(leaving.is_leaving(upstream))
+        # An upstream that stays is used again some time later.
+        await world.clock.sleep(LEAVING_KEPT_SECONDS + POLL_SECONDS)
+        self.assertFalse(leaving.is_leaving(upstream))
+        await task.cancel()
+
+
 class RestoredControlTest(TestCase):
     def control(self, world, fixture, holder):
         """Return the engine control of a host."""
