--- a/sassafraskeel/store/sheet_store.py
+++ b/sassafraskeel/store/sheet_store.py
@@ -37,7 +37,7 @@
 from sassafraskeel.sheets.model import Sheet
 from sassafraskeel.sheets.parse import compute_digest, parse_sheet
 from sassafraskeel.sheets.plan import check_plan, plan_change
-from sassafraskeel.store.key_value import MAX_VALUE_BYTES, KeyValueStore
+from sassafraskeel.store.key_value import MAX_VALUE_BYTES, KeyValueStore, Revision
 
 HEAD_KEY = "sheet/head"
 KEPT_VERSIONS = 50
@@ -51,7 +51,8 @@
 class SheetHead(NamedTuple):
     """The head of the sheet; `delta` turns the text of `base` into its text.
 
-    `revision` is the revision of the key, for a compare-and-swap.
+    `revision` is the revision of the key, for a compare-and-swap. `again` tells that
+    the sheet was accepted with that option.
     """
 
     version: int
@@ -59,7 +60,8 @@
     lineage: Lineage
     base: Stamp | None
     delta: bytes
-    revision: int
+    revision: Revision
+    again: bool = False
 
     @property
     def stamp(self) -> Stamp:
@@ -74,9 +76,10 @@
     lineage: Lineage
     base: Stamp | None = None
     base_text: str = ""
+    again: bool = False
 
 
-EMPTY_HEAD = SheetHead(0, "", (), None, b"", 0)
+EMPTY_HEAD = SheetHead(0, "", (), None, b"", Revision(0, 0))
 
 
 def text_key(version: int) -> str:
@@ -84,7 +87,7 @@
     return f"sheet/{version}"
 
 
-def decode_head(value, revision: int) -> SheetHead:
+def decode_head(value, revision: Revision) -> SheetHead:
     """Decode a stored head; raise ProtocolError if it is malformed."""
     if value is None:
         return EMPTY_HEAD._replace(revision=revision)
@@ -93,7 +96,13 @@
         lineage = tuple(parse_stamp(item) for item in value["lineage"])
         delta = base64.b64decode(value["delta"], validate=True)
         return SheetHead(
-            int(value["version"]), str(value["digest"]), lineage, base, delta, revision
+            int(value["version"]),
+            str(value["digest"]),
+            lineage,
+            base,
+            delta,
+            revision,
+            value.get("again") is True,
         )
     except (KeyError, TypeError, ValueError, binascii.Error) as exc:
         raise ProtocolError(f"the head of the sheet is malformed: {exc}") from exc
@@ -149,10 +158,11 @@
         head.lineage,
         head.stamp if current else None,
         current.text if current else "",
+        again,
     )
     accepted = await publish_sheet(store, head, head.version + 1, publication)
     if head.version:
-        await _prune(store, head.version, accepted.version)
+        await _prune(store, head, accepted.version)
     return accepted.version
 
 
@@ -211,9 +221,9 @@
         raise InvalidInput([Fault("sheet", 1, "", "too long", allowed)])
     for candidate in range(version, version + MAX_VERSION_TRIES):
         entry = await store.get(text_key(candidate))
-        if entry.revision == 0:
+        if entry.revision.number == 0:
             try:
-                await store.put(text_key(candidate), value, 0)
+                await store.put(text_key(candidate), value, entry.revision)
                 return candidate
             except (CompareFailed, PlatformUnavailable):
                 # Another host wrote first, or the answer to this write was lost.
@@ -237,17 +247,19 @@
         "lineage": [str(item) for item in merge_lineages(tuple(older), (new_stamp,))],
         "base": str(publication.base) if delta else "",
         "delta": base64.b64encode(delta).decode(),
+        "again": publication.again,
     }
 
 
-async def _prune(store, previous, version) -> None:
+async def _prune(store, previous: SheetHead, version: int) -> None:
     """Empty the texts of versions older than the last KEPT_VERSIONS."""
-    first = max(1, previous - KEPT_VERSIONS + 1)
+    first = max(1, previous.version - KEPT_VERSIONS + 1)
     last = min(version - KEPT_VERSIONS, first + KEPT_VERSIONS)
+    # A text is written only once, so its revision is 1 until it is emptied.
+    written_once = previous.revision._replace(number=1)
     for number in range(first, last + 1):
         try:
-            # A text is written only once, so its revision is 1 until it is emptied.
-            await store.put(text_key(number), None, 1)
+            await store.put(text_key(number), None, written_once)
         except SassafraskeelError:
             continue  # The sheet is accepted; a text that stays only takes up space.
 
