Move the resuming of streams out of the calls of routes

No change of behaviour: tests.test_resumed_streams, tests.test_resumed_streams_review, tests.test_route_host, tests.test_route_faults and tests.test_planned_stops pass as before.

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -1,11 +1,8 @@
-"""Calls of the routes of a manifest: checks, attempts, retries and resumption."""
+"""Calls of the routes of a manifest: checks, attempts and retries."""
 
-import math
 from functools import partial
 from typing import NamedTuple, Protocol
 
-import curio
-
 from sassafraskeel.calls.answers import ReleasingAnswer, buffer_answer
 from sassafraskeel.calls.attempts import AttemptHistory, Target, run_attempts
 from sassafraskeel.calls.crash_guard import FeatureHasher
@@ -18,15 +15,14 @@
     latest_end,
     state_stay,
 )
+from sassafraskeel.calls.stream_resumer import FINAL_REASONS, StreamResumer
 from sassafraskeel.calls.stream_start import StartReporter
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     Outcome,
     Reason,
     Refusal,
-    SassafraskeelError,
     not_run_refusal,
-    unknown_outcome_refusal,
 )
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
@@ -53,14 +49,6 @@
 # after two seconds or more without an event.
 MIN_STALL_TIMEOUT_SECONDS = 1.0
 STALL_TIMEOUT_FACTOR = 3.0
-# A resumed stream needs a slot within this time, because callers abandon a stream
-# after a gap of two seconds.
-RESUME_TIMEOUT_SECONDS = 1.2
-# Pause before the next attempt to resume a stream: hosts and replicas that come back
-# are known within half a second.
-RESUME_INTERVAL_SECONDS = 0.2
-# Refusals that hold for every target.
-FINAL_REASONS = (Reason.RESIDENCY, Reason.CRASHES_UPSTREAM)
 # Refusals of hosts that have sent the call to no replica.
 UNSENT_REASONS = (Reason.DRAINING, Reason.PEER_UNREACHABLE)
 MIN_FAILURE_STATUS = 500
@@ -106,7 +94,7 @@
 class RouteCalls:
     """Sends calls of routes to a replica, or to a host of another region.
 
-    Implements CallDispatcher and AttemptPolicy.
+    Implements CallDispatcher and ResumePolicy.
     """
 
     def __init__(
@@ -126,6 +114,7 @@
         self._senders = senders
         self._hasher = hasher
         self._budget = budget
+        self._resumer = StreamResumer(self, clock, log, routing_state.hosts)
 
     def check(self, call: Call) -> None:
         """Raise Refusal unless this host may run the call; the body is not needed."""
@@ -202,12 +191,12 @@
         history.charged_at = None
         if not history.delivered_attempts:
             return
-        self._check_budget(call)
+        self.check_budget(call)
         now = self._clock.monotonic()
         self._budget.record_retry(call.service, now)
         history.charged_at = now
 
-    def _check_budget(self, call: Call) -> None:
+    def check_budget(self, call: Call) -> None:
         """Raise Refusal if the retry budget allows no retry."""
         now = self._clock.monotonic()
         hosts = self._routing_state.hosts.count(now)
@@ -255,7 +244,9 @@
                 self._record_route_time(call, answer, started)
 
         if is_event_stream(answer.head) and answer.head.status < 300:
-            stream = EventStream(answer, self._resume_function(call, body, history))
+            stream = EventStream(
+                answer, self._resumer.resume_function(call, body, history)
+            )
             return ReleasingAnswer(stream, (), release)
         buffered = await buffer_answer(target.name, call, answer)
         await release(True)
@@ -321,7 +312,9 @@
             answer.stall_timeout = max(MIN_STALL_TIMEOUT_SECONDS, stall_timeout)
         # Only the host that received the call from its caller resumes, so that
         # attempts do not multiply with each forwarding host.
-        resume = None if call.hops else self._resume_function(call, body, history)
+        resume = (
+            None if call.hops else self._resumer.resume_function(call, body, history)
+        )
         may_resume = partial(self._may_retry_possibly_run, call, history)
         # After its last event, a resumed stream is empty. At its start, a stream that
         # ends with its connection and has no event was cut.
@@ -332,92 +325,6 @@
         )
         return ReleasingAnswer(stream, (), release)
 
-    def _resume_function(self, call: Call, body: bytes, history: AttemptHistory):
-        """Return a function that resumes a stream, or None if that is not allowed."""
-        if not call.route_policy.resumable:
-            return None
-
-        async def resume(last_id: str, cause: SassafraskeelError) -> Answer:
-            began_at = self._clock.monotonic()
-            resumed = call._replace(resume_after=last_id or call.resume_after)
-            while True:
-                try:
-                    answer = await self._resume_once(resumed, body, history)
-                    break
-                except Refusal as refusal:
-                    self._log_failed_resume(call, cause, refusal)
-                    if not self._may_resume_later(call, refusal, history):
-                        raise
-                await self._clock.sleep(RESUME_INTERVAL_SECONDS)
-            self._log.emit(
-                Event.STREAM_RESUMED,
-                call=call.call_id,
-                after=last_id,
-                to=history.target,
-                sends=history.attempts,
-                cause=str(cause),
-                gap_ms=round((self._clock.monotonic() - began_at) * 1000),
-            )
-            return answer
-
-        return resume
-
-    async def _resume_once(self, call: Call, body: bytes, history) -> Answer:
-        if not self._may_resume(call, history):
-            raise not_run_refusal(
-                Reason.UPSTREAM_FAILED, "no further attempt is allowed"
-            )
-        history.start_round()
-        self._check_budget(call)
-        now = self._clock.monotonic()
-        call = call._replace(queue_deadline=now + RESUME_TIMEOUT_SECONDS)
-        answer = await run_attempts(self, call, body, history)
-        if answer.head.status >= 300 or not is_event_stream(answer.head):
-            await answer.close()
-            raise unknown_outcome_refusal(
-                Reason.UPSTREAM_FAILED, "the stream was not resumed"
-            )
-        return answer
-
-    def _may_resume(self, call: Call, history: AttemptHistory) -> bool:
-        """Return whether another target may run the rest of a stream."""
-        return (
-            len(history.runs) < call.route_policy.max_upstreams
-            and call.expires > self._clock.monotonic()
-        )
-
-    def _may_resume_later(
-        self, call: Call, refusal: Refusal, history: AttemptHistory
-    ) -> bool:
-        """Return whether a stream whose head was sent may still be resumed.
-
-        For a new call a refusal is an answer, but a stream can only be broken off. It
-        is tried again until its own time or that of its host ends.
-        """
-        if refusal.reason in FINAL_REASONS or isinstance(
-            refusal.__cause__, curio.TaskCancelled
-        ):
-            return False
-        hosts = self._routing_state.hosts
-        retry_at = self._clock.monotonic() + RESUME_INTERVAL_SECONDS
-        return self._may_resume(call, history) and retry_at < min(
-            call.expires, hosts.closes_at(hosts.local_host)
-        )
-
-    def _log_failed_resume(self, call: Call, cause, refusal: Refusal) -> None:
-        now, hosts = self._clock.monotonic(), self._routing_state.hosts
-        closes_in = hosts.closes_at(hosts.local_host) - now
-        self._log.emit(
-            Event.RESUME_FAILED,
-            call=call.call_id,
-            cause=str(cause),
-            outcome=refusal.outcome.value,
-            reason=refusal.reason.value,
-            detail=refusal.detail,
-            left_ms=round((call.expires - now) * 1000),
-            closes_in_ms=round(closes_in * 1000) if math.isfinite(closes_in) else None,
-        )
-
     def _head_timeout(self, target: Target, call: Call) -> float:
         if call.kind is CallKind.MODEL:
             minimum = MIN_STREAM_TIMEOUT_SECONDS
