Ignore entries of older runs of replicas

Calls reached a replica that had reported that it drains, after a restore of the store from a copy that had the entry of its previous run under the same id. Entries were compared within a run only, so that an older run replaced the current one, with its state and its address.

Runs are ordered by their born, entries of a run by their seqNo, as before.

--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -128,20 +128,21 @@
         return [zone for zone, until in self._evacuated_until.items() if now >= until]
 
     def is_outdated(self, replica: Replica) -> bool:
-        """Return whether an entry is older than what is known of a run of a replica.
+        """Return whether an entry is older than the latest one of a replica or its run.
 
         A store that was restored from a copy lists such entries.
         """
-        if not replica.started_at_ms or not replica.sequence:
-            return False
         known = self._replicas.get(replica.name)
-        if known is not None:
-            is_same_run = known.started_at_ms == replica.started_at_ms
-            return is_same_run and replica.sequence < known.sequence
-        departed = self._departed.get(replica.name)
-        if departed is None or departed.started_at_ms != replica.started_at_ms:
+        latest = known or self._departed.get(replica.name)
+        if latest is None or not replica.started_at_ms:
+            return False
+        if replica.started_at_ms != latest.started_at_ms:
+            return replica.started_at_ms < latest.started_at_ms
+        if not replica.sequence:
             return False
-        return replica.sequence <= departed.sequence
+        if known is None:
+            return replica.sequence <= latest.sequence
+        return replica.sequence < latest.sequence
 
     def update(self, replica: Replica) -> Replica | None:
         """Store the entry of a replica; return the previous one, or None."""
--- /dev/null
+++ b/tests/test_store_restored_review.py
@@ -0,0 +1,34 @@
+"""Tests of entries of older runs and of several restores of a store."""
+
+from unittest import TestCase
+
+from sassafraskeel.decisions.fleet import Fleet
+from tests.support.routes import with_routes
+from tests.test_fleet import replica
+
+
+class ReplicaTest(TestCase):
+    async def check_unused(self, world, replica):
+        arrivals = replica.arrivals
+        for number in range(10):
+            await world.call("/read/stock", call_id=f"d-{number}")
+        self.assertEqual(replica.arrivals, arrivals)
+
+    def test_older_run(self):
+        """Guards against a replica that the entry of an older run takes back."""
+        fleet = Fleet({"north-a": "north"})
+        fleet.update(replica(started_at_ms=2, draining=True, sequence=1))
+        self.assertTrue(fleet.is_outdated(replica(started_at_ms=1, sequence=9)))
+        fleet.remove("r-1", 10.0)
+        self.assertTrue(fleet.is_outdated(replica(started_at_ms=1, sequence=9)))
+        self.assertFalse(fleet.is_outdated(replica(started_at_ms=3, sequence=1)))
+
+    @with_routes
+    async def test_older_run_is_used(self, world):
+        """Guards against calls for a draining replica with an older run in the copy."""
+        replica, copy = world.replicas[0], world.store.copy()
+        await world.register_replica(replica, born=2, seqNo=1, state="draining")
+        await world.clock.sleep(1)
+        await world.store.restore(copy)
+        await world.clock.sleep(3)
+        await self.check_unused(world, replica)
