Order the entry with the number 0 before the others of its run

Calls reached a replica that had reported that it drains, after a restore of the store from a copy whose entry of the same run had the seqNo 0. The number 0 stood for a missing one, and such entries are not compared. The platform's page does not say with which number a run begins.

A missing seqNo is now -1.

--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -14,15 +14,16 @@
 MAX_REPLICAS = 8192
 # Replicas that left, remembered so that a copy of the store does not bring them back.
 MAX_DEPARTED = 1024
+UNKNOWN_SEQUENCE = -1
 
 
 class Replica(NamedTuple):
     """The entry of a replica in the store, for one run of the replica.
 
     `started_at_ms` is the start of the run in Unix milliseconds, and `sequence` rises
-    with each entry of a run; 0 stands for unknown. `cold_until` and `terminates_at` are
-    in monotonic seconds; `terminates_at` is set when the platform reclaims the replica
-    at short notice.
+    with each entry of a run; 0 and UNKNOWN_SEQUENCE stand for unknown. `cold_until` and
+    `terminates_at` are in monotonic seconds; `terminates_at` is set when the platform
+    reclaims the replica at short notice.
     """
 
     name: str
@@ -34,7 +35,7 @@
     draining: bool
     cold_until: float = 0.0
     terminates_at: float | None = None
-    sequence: int = 0
+    sequence: int = UNKNOWN_SEQUENCE
 
 
 class Fleet:
@@ -138,7 +139,7 @@
             return False
         if replica.started_at_ms != latest.started_at_ms:
             return replica.started_at_ms < latest.started_at_ms
-        if not replica.sequence:
+        if replica.sequence == UNKNOWN_SEQUENCE:
             return False
         if known is None:
             return replica.sequence <= latest.sequence
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -6,7 +6,7 @@
 from sassafraskeel.core.net import parse_address
 from sassafraskeel.core.types import CallKind, HostInfo
 from sassafraskeel.decisions.crash_evidence import CrashTable
-from sassafraskeel.decisions.fleet import Replica
+from sassafraskeel.decisions.fleet import UNKNOWN_SEQUENCE, Replica
 from sassafraskeel.decisions.routes import (
     CallerLimits,
     EngineSpec,
@@ -128,7 +128,7 @@
     # The time for which the replica stays cold, not the time since its start.
     cold_ms = content.get("coldRemainingMs", 0)
     started_at_ms = content.get("born", 0)
-    sequence = content.get("seqNo", 0)
+    sequence = content.get("seqNo", UNKNOWN_SEQUENCE)
     numbers = [content.get("slots"), cold_ms, started_at_ms, sequence]
     if remaining_ms is not None:
         numbers.append(remaining_ms)
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -32,3 +32,16 @@
         await world.store.restore(copy)
         await world.clock.sleep(3)
         await self.check_unused(world, replica)
+
+    @with_routes
+    async def test_first_entry_is_used(self, world):
+        """Guards against a drain that an entry with the number 0 takes back."""
+        replica = world.replicas[0]
+        await world.register_replica(replica, born=2, seqNo=0)
+        await world.clock.sleep(1)
+        copy = world.store.copy()
+        await world.register_replica(replica, born=2, seqNo=1, state="draining")
+        await world.clock.sleep(1)
+        await world.store.restore(copy)
+        await world.clock.sleep(3)
+        await self.check_unused(world, replica)
