Keep what is missing for the grace of the latest restore

Calls could reach an evacuated zone, and sound replicas were not used, when the store was restored again within the grace of an earlier restore. What was missing since the first one was dropped at the end of the first grace, while operators and replicas have as long after the second one to write it again.

A missing entry now gets the end of the grace that is in force when a complete list omits it. That end only moves with a further outage or restore.

SecondRestoreTest failed before (both tests).

--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -122,7 +122,7 @@
         if self._restored_at is not None:
             end = self._restored_at + LAPSE_GRACE_SECONDS
         for zone in self._evacuated - zones:
-            self._evacuated_until.setdefault(zone, end)
+            self._evacuated_until[zone] = end
 
     def ended_evacuations(self, now: float) -> list[str]:
         """Return the evacuated zones whose evacuation was not written again in time."""
@@ -168,7 +168,7 @@
             return False
         grace_end = self._grace_end()
         if grace_end is not None and now < grace_end:
-            self._missing_until.setdefault(name, grace_end)
+            self._missing_until[name] = grace_end
             self.changes += 1
             return False
         self._departed.pop(name, None)
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -2,7 +2,7 @@
 
 from unittest import TestCase
 
-from sassafraskeel.decisions.fleet import Fleet
+from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
 from tests.support.routes import with_routes
 from tests.test_fleet import replica
 
@@ -45,3 +45,32 @@
         await world.store.restore(copy)
         await world.clock.sleep(3)
         await self.check_unused(world, replica)
+
+
+class SecondRestoreTest(TestCase):
+    def setUp(self):
+        self.fleet = Fleet({"north-a": "north"})
+        self.before_end = 11.0 + LAPSE_GRACE_SECONDS - 0.1
+
+    def restore_empty(self):
+        """Restore the store twice, the second time within the grace of the first."""
+        for now in (10.0, 11.0):
+            self.fleet.store_restored(now)
+            self.fleet.retain(set(), now)
+            self.fleet.retain_evacuated(set(), now)
+
+    def test_replica_is_dropped(self):
+        """Guards against a replica that is dropped before it has registered again."""
+        self.fleet.update(replica())
+        self.restore_empty()
+        self.assertEqual(self.fleet.expire(self.before_end), [])
+        self.assertEqual(len(self.fleet.replicas("desk", self.before_end)), 1)
+        self.assertEqual(self.fleet.expire(self.before_end + 0.2), ["r-1"])
+
+    def test_evacuation_is_forgotten(self):
+        """Guards against an evacuation that ends before it was written again."""
+        self.fleet.set_evacuated("north-a", True, 9.0)
+        self.restore_empty()
+        self.assertEqual(self.fleet.ended_evacuations(self.before_end), [])
+        ended = self.fleet.ended_evacuations(self.before_end + 0.2)
+        self.assertEqual(ended, ["north-a"])
