Notice the first restore of a store whose eras begin with 0

Calls reached an evacuated zone after the first restore of a store that had named its era 0. The point before the first answer had that era as well, so that the restore was taken for a first read: nothing was kept that the copy lacks, and the host neither registered nor published again at once. The platform's page says that the era rises by one, not where it begins.

test_restore_is_not_noticed failed before.

--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -20,7 +20,8 @@
 
 # The era of a store that names none, and is therefore never restored.
 NO_ERA = 0
-UNREAD = StoreRevision(NO_ERA, 0)
+# Before the first answer of a store, whose eras may begin with 0.
+UNREAD = StoreRevision(-1, 0)
 
 
 class Lease(NamedTuple):
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -3,7 +3,8 @@
 from unittest import TestCase
 
 from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
-from tests.support.routes import with_routes
+from tests.support.clock import run_virtual
+from tests.support.routes import RouteWorld, with_routes
 from tests.test_fleet import replica
 
 
@@ -74,3 +75,25 @@
         self.assertEqual(self.fleet.ended_evacuations(self.before_end), [])
         ended = self.fleet.ended_evacuations(self.before_end + 0.2)
         self.assertEqual(ended, ["north-a"])
+
+
+class FirstEraTest(TestCase):
+    def test_restore_is_not_noticed(self):
+        """Guards against a restore that is not noticed since the first era is 0."""
+
+        async def main(clock):
+            world = RouteWorld(clock)
+            world.store.era = 0
+            await world.start()
+            copy = world.store.copy()
+            await world.store.write("op/evacuate/north-a", b"{}")
+            await clock.sleep(1)
+            await world.store.restore(copy)
+            for number in range(9):
+                await clock.sleep(0.2)
+                await world.call("/read/stock", call_id=f"e-{number}")
+            arrivals = sum(replica.arrivals for replica in world.replicas[:2])
+            await world.close()
+            self.assertEqual(arrivals, 0)
+
+        run_virtual(main)
