Do not list stopped hosts whose registration is in a copy

Callers were sent to a host that had stopped or died seconds before a restore of the store: its registration was in the copy, whose lease ends 5.5 s after the return only, and other hosts no longer had a link or roster that showed it as gone. A registration alone counts as a sign of life.

A host that was seen to end stays so until a watch brings a new registration. What a complete list says of it may be from the copy; then only links and rosters can show that it is alive. Live hosts register again after a restore, so that they are not concerned.

--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -89,6 +89,8 @@
         self._unreachable_since: dict[HostInfo, float] = {}
         # Unregistered hosts and when, because a draining host still serves calls.
         self._departed: dict[str, tuple[HostInfo, float]] = {}
+        # The last registration of each host that left, until it registers again.
+        self._ended: dict[str, HostInfo] = {}
 
     @property
     def local_host(self) -> HostInfo:
@@ -99,10 +101,16 @@
         """Return the region of a host."""
         return self._regions.get(host.domain, "")
 
-    def register(self, host: HostInfo) -> HostInfo | None:
-        """Store the registration of a host; return the previous one, or None."""
+    def register(self, host: HostInfo, just_written: bool = True) -> HostInfo | None:
+        """Store the registration of a host; return the previous one, or None.
+
+        One that was not just written may be from a copy of the store. If it had ended,
+        it does not show that the host is alive.
+        """
         if host.name == self.local_host.name:
             return host
+        if just_written:
+            self._ended.pop(host.name, None)
         known = self._registered.get(host.name)
         if known != host:
             self.invalidate()
@@ -120,6 +128,10 @@
         self._departed[name] = (host, self._store_answered_at)
         if len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
+        self._ended.pop(name, None)
+        self._ended[name] = host
+        if len(self._ended) > MAX_DEPARTED:
+            del self._ended[next(iter(self._ended))]
         return True
 
     def retain(self, names: set[str]) -> None:
@@ -409,4 +421,6 @@
             return True
         if host.name not in self._registered or self.is_suspect(host, now):
             return False
+        if self._ended.get(host.name) == host:
+            return False
         return now - self._store_answered_at < STORE_FRESH_SECONDS
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -121,7 +121,7 @@
             await self.apply_document(document)
         replicas, hosts, zones, crash_tables = set(), set(), set(), set()
         for change in batch.changes:
-            update = self._apply(change, now)
+            update = self._apply(change, now, just_written=False)
             if isinstance(update, ReplicaListed):
                 replicas.add(update.replica.name)
             elif isinstance(update, HostListed):
@@ -168,7 +168,7 @@
                 self._unregister(name, revision)
             self._unlisted_hosts.clear()
 
-    def _apply(self, change: Change, now: float):
+    def _apply(self, change: Change, now: float, just_written: bool = True):
         """Apply one change; a malformed document leaves the last valid one in force."""
         try:
             update = self._codec.decode(change, now)
@@ -192,7 +192,7 @@
             self._crashes.table_removed(update.host)
         elif isinstance(update, HostListed):
             self._unlisted_hosts.discard(update.host.name)
-            previous = self._hosts.register(update.host)
+            previous = self._hosts.register(update.host, just_written)
             if previous != update.host:
                 host = update.host
                 self._log_host(host.name, host.incarnation, change.revision)
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -2,12 +2,19 @@
 
 from unittest import TestCase
 
+from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
+from sassafraskeel.decisions.hosts import HostTable
+from sassafraskeel.decisions.membership import Membership
 from tests.support.clock import run_virtual
-from tests.support.routes import RouteWorld, with_routes
+from tests.support.routes import ANY_PORT, RouteWorld, with_routes
 from tests.test_fleet import replica
 
 
+def host_info(name) -> HostInfo:
+    return HostInfo(name, "a", "1", ANY_PORT, ANY_PORT)
+
+
 class ReplicaTest(TestCase):
     async def check_unused(self, world, replica):
         arrivals = replica.arrivals
@@ -97,3 +104,48 @@
             self.assertEqual(arrivals, 0)
 
         run_virtual(main)
+
+
+class HostTest(TestCase):
+    async def count_listed(self, world, stopped):
+        """Return how many answers list a stopped host for callers of its region."""
+        listed = 0
+        for number in range(30):
+            await world.clock.sleep(0.2)
+            if number == 10:
+                await world.store.compact()
+            for host in (0, 1, 2):
+                addresses = await world.directory(host, "south")
+                listed += stopped.cfg.listen.callers in addresses
+        return listed
+
+    @with_routes(world_options={"zones": ("north-a", "north-a", "south-a", "south-a")})
+    async def test_stopped_host_is_listed(self, world):
+        """Guards against callers sent to a stopped host whose registration returns."""
+        copy = world.store.copy()
+        stopped = world.hosts[3]
+        await stopped.drain()
+        await world.clock.sleep(13)
+        await world.store.restore(copy)
+        self.assertEqual(await self.count_listed(world, stopped), 0)
+
+    @with_routes(world_options={"zones": ("north-a", "north-a", "south-a", "south-a")})
+    async def test_killed_host_is_listed(self, world):
+        """Guards against callers sent to a killed host whose registration returns."""
+        copy = world.store.copy()
+        killed = world.hosts[3]
+        await killed.close()
+        await world.clock.sleep(13)
+        await world.store.restore(copy)
+        self.assertEqual(await self.count_listed(world, killed), 0)
+
+    def test_registers_again(self):
+        """Guards against a host that registers again and is not taken for alive."""
+        table = HostTable(Membership(host_info("host-0")), {"a": "north"})
+        other = host_info("host-1")
+        for written, live in ((False, 0), (True, 1)):
+            table.register(other)
+            table.unregister("host-1")
+            table.register(other, just_written=written)
+            table.store_answered(10.0)
+            self.assertEqual(table.count(10.0), 1 + live)
