Take over a crash of an earlier run once

Calls could be blamed again for a crash of an earlier run of a host, although an answer had cleared them, after a restore of the store: the host read its own older table from the copy, took over the crashes of its earlier run a second time and published them.

A crash of an earlier run is taken over once.

test_cleared_crash_of_earlier_run failed before.

--- a/sassafraskeel/decisions/crash_evidence.py
+++ b/sassafraskeel/decisions/crash_evidence.py
@@ -130,6 +130,8 @@
         self._incarnation = incarnation[:MAX_INCARNATION_LENGTH]
         self._crashes: dict[str, Crash] = {}
         self._cleared: dict[str, set[str]] = {}
+        # Crashes of earlier runs; a copy of the store may list cleared ones again.
+        self._taken_over: set[str] = set()
         self._tables: dict[str, CrashTable] = {}
         self._events: list[_Event] = []
         self._events_of: dict[str, frozenset[int]] = {}
@@ -249,8 +251,10 @@
         """Take over the table of a host; an earlier run of this host had its name."""
         if host == self._host:
             for crash in table.crashes:
-                if not crash.crash_id.startswith(f"{self._incarnation}-"):
-                    self._crashes.setdefault(crash.crash_id, crash)
+                own = crash.crash_id.startswith(f"{self._incarnation}-")
+                if not own and crash.crash_id not in self._taken_over:
+                    self._taken_over.add(crash.crash_id)
+                    self._crashes[crash.crash_id] = crash
             for crash_id, names in table.cleared.items():
                 self._cleared.setdefault(crash_id, set()).update(names)
             self._drop_oldest()
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 
 from sassafraskeel.core.types import HostInfo
+from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.decisions.membership import Membership
@@ -149,3 +150,16 @@
             table.register(other, just_written=written)
             table.store_answered(10.0)
             self.assertEqual(table.count(10.0), 1 + live)
+
+
+class CrashTableTest(TestCase):
+    def test_cleared_crash_of_earlier_run(self):
+        """Guards against a cleared crash of an earlier run that counts again."""
+        earlier = CrashEvidence("host-0", "1")
+        earlier.replica_lost("desk", "r-0", ("part",), 10.0)
+        table = earlier.table(10.0)
+        evidence = CrashEvidence("host-0", "2")
+        evidence.merge("host-0", table, 11.0)
+        evidence.answered("desk", ("part",), 12.0)
+        evidence.merge("host-0", table, 13.0)
+        self.assertTrue(evidence.is_empty)
