Ignore the registration of a host's earlier run in a copy

After a restore of the store from a copy that had the registration of a host's earlier run, other hosts took that one for the current run: in a trial in memory with six hosts for about 0.7 s, and for as long as was watched (3 s) if the host could not reach the store.

A run of a host that a later run has replaced is never registered again.

test_older_run_of_host and test_replaced_run failed before.

--- a/sassafraskeel/decisions/hosts.py
+++ b/sassafraskeel/decisions/hosts.py
@@ -91,6 +91,8 @@
         self._departed: dict[str, tuple[HostInfo, float]] = {}
         # The last registration of each host that left, until it registers again.
         self._ended: dict[str, HostInfo] = {}
+        # Runs of hosts that a later run replaced; a copy of the store may list them.
+        self._replaced: dict[HostInfo, None] = {}
 
     @property
     def local_host(self) -> HostInfo:
@@ -105,13 +107,19 @@
         """Store the registration of a host; return the previous one, or None.
 
         One that was not just written may be from a copy of the store. If it had ended,
-        it does not show that the host is alive.
+        it does not show that the host is alive. A run that a later one replaced is
+        ignored.
         """
-        if host.name == self.local_host.name:
+        if host.name == self.local_host.name or host in self._replaced:
             return host
+        known = self._registered.get(host.name)
+        latest = known or self._ended.get(host.name)
+        if latest is not None and latest.incarnation != host.incarnation:
+            self._replaced[latest] = None
+            if len(self._replaced) > MAX_DEPARTED:
+                del self._replaced[next(iter(self._replaced))]
         if just_written:
             self._ended.pop(host.name, None)
-        known = self._registered.get(host.name)
         if known != host:
             self.invalidate()
         self._registered[host.name] = host
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -7,6 +7,7 @@
 from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.decisions.membership import Membership
+from sassafraskeel.platform.documents import PlatformDocumentCodec
 from tests.support.clock import run_virtual
 from tests.support.routes import ANY_PORT, RouteWorld, with_routes
 from tests.test_fleet import replica
@@ -151,6 +152,34 @@
             table.store_answered(10.0)
             self.assertEqual(table.count(10.0), 1 + live)
 
+    @with_routes
+    async def test_older_run_of_host(self, world):
+        """Guards against a restarted host that its previous registration replaces."""
+        copy, table = world.store.copy(), world.hosts[0].hosts
+        host = world.hosts[2].membership.local_host._replace(incarnation="restarted")
+        await world.hosts[2].close()
+        await world.store.write(*PlatformDocumentCodec().encode_host(host))
+        await world.clock.sleep(1)
+        self.assertIn(host, table.registered())
+        await world.store.restore(copy)
+        await world.clock.sleep(1)
+        self.assertIn(host, table.registered())
+
+    def test_replaced_run(self):
+        """Guards against a run of a host that comes back after a later one."""
+        table = HostTable(Membership(host_info("host-0")), {"a": "north"})
+        older, newer = (
+            host_info("host-1"),
+            host_info("host-1")._replace(incarnation="2"),
+        )
+        table.register(older)
+        table.register(newer)
+        table.register(older, just_written=False)
+        self.assertEqual(table.registered(), [newer])
+        table.unregister("host-1")
+        table.register(older, just_written=False)
+        self.assertEqual(table.registered(), [])
+
 
 class CrashTableTest(TestCase):
     def test_cleared_crash_of_earlier_run(self):
