--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -39,7 +39,7 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
-from sassafraskeel.decisions.request_limits import RequestLimits
+from sassafraskeel.decisions.replica_statements import ReplicaStatements
 from sassafraskeel.decisions.routes import (
     CallerLimits,
     EngineSpec,
@@ -85,7 +85,7 @@
         SilenceDetector(),
         RegionLoads(),
         lambda name, now: 1.0,
-        RequestLimits(),
+        ReplicaStatements(),
         CallCosts(),
     )
 
--- a/sassafraskeel/calls/replica_states.py
+++ b/sassafraskeel/calls/replica_states.py
@@ -5,7 +5,7 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.decisions.fleet import Replica
-from sassafraskeel.decisions.request_limits import NamedLimit
+from sassafraskeel.decisions.replica_statements import NamedLimit
 from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
 
 
@@ -44,7 +44,7 @@
 
     def on_probe_sent(self, replica: Replica) -> None:
         state, now = self._routing_state, self._clock.monotonic()
-        state.limits.sent(replica, state.rate_share(replica.name, now), now)
+        state.statements.sent(replica, state.rate_share(replica.name, now), now)
 
     def on_probe_answered(
         self, replica: Replica, health: ReplicaHealth, sent_at: float
@@ -54,7 +54,7 @@
     def _record_limit(
         self, replica: Replica, limit: NamedLimit | None, sent_at: float, now: float
     ) -> None:
-        limits = self._routing_state.limits
+        limits = self._routing_state.statements
         if limit is None:
             # A limit that is already known still holds.
             self._log.emit(Event.LIMIT_MALFORMED, replica=replica.name)
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -408,7 +408,8 @@
             predicted_ms=round(target.predicted_seconds * 1000),
             prompt_tokens=target.prompt_tokens,
             requests=target.requests,
-            limit=target.upstream and self._routing_state.limits.rate(target.upstream),
+            limit=target.upstream
+            and self._routing_state.statements.rate(target.upstream),
             coordinator=target.grant.coordinator if target.grant else "",
             store_age_ms=self._routing_state.hosts.store_age_ms(now),
             left_ms=round((call.expires - now) * 1000),
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -26,7 +26,7 @@
 )
 from sassafraskeel.decisions.prompt_caches import PromptCaches, preferred_replica
 from sassafraskeel.decisions.region_loads import RegionLoads, ServiceLoad
-from sassafraskeel.decisions.request_limits import RequestLimits
+from sassafraskeel.decisions.replica_statements import ReplicaStatements
 from sassafraskeel.decisions.silence import SilenceDetector
 
 # The cache expires because replicas with lapsed entries leave the fleet as time passes,
@@ -86,7 +86,7 @@
     silence_detector: SilenceDetector
     region_loads: RegionLoads
     rate_share: Callable[[str, float], float]
-    limits: RequestLimits
+    statements: ReplicaStatements
     call_costs: CallCosts
 
 
@@ -120,11 +120,11 @@
     def record_cost(self, call: Call, now: float) -> None:
         """Add a call to the average work of its service while replicas name limits."""
         state, prompt = self._routing_state, call.route_policy.prompt
-        if prompt is None or state.limits.is_empty():
+        if prompt is None or state.statements.is_empty():
             return
         regions = self._replicas_by_region(call.service, now)
         replicas = regions.get(self._local_region(), [])
-        unlimited = [r for r in replicas if state.limits.rate(r) is None]
+        unlimited = [r for r in replicas if state.statements.rate(r) is None]
         if len(unlimited) < len(replicas):
             cached_tokens = [
                 state.prompt_caches.cached_tokens(r.name, prompt) for r in unlimited
@@ -139,9 +139,9 @@
         are most work for the other replicas, as long as these use them up.
         """
         state, prompt = self._routing_state, call.route_policy.prompt
-        if prompt is None or state.limits.is_empty():
+        if prompt is None or state.statements.is_empty():
             return options
-        unlimited = [o for o in options if state.limits.rate(o.replica) is None]
+        unlimited = [o for o in options if state.statements.rate(o.replica) is None]
         if len(unlimited) == len(options):
             return options
         cached_tokens = max((option.cached_tokens for option in unlimited), default=0)
@@ -151,7 +151,7 @@
             option
             for option in options
             if option not in unlimited
-            and state.limits.is_unused(
+            and state.statements.is_unused(
                 option.replica, state.rate_share(option.replica.name, now), now
             )
         ]
@@ -182,10 +182,10 @@
         """Return how many calls per second get a slot while all slots are used."""
         state = self._routing_state
         rate = slot_limit(replica, spec) / work if work else math.inf
-        if state.limits.rate(replica) is None:
+        if state.statements.rate(replica) is None:
             return rate
         share = state.rate_share(replica.name, now)
-        return min(rate, state.limits.usable_rate(replica, share))
+        return min(rate, state.statements.usable_rate(replica, share))
 
     def best_region(
         self, call: Call, history: AttemptHistory, now: float, free_only: bool
@@ -254,15 +254,15 @@
             load = state.loads.total(replica.name, now)
             free = max(slot_limit(replica, spec) - load.running, 0)
             wait = predicted_seconds(replica, load, spec, None, 0, work)
-            if state.limits.rate(replica) is None:
+            if state.statements.rate(replica) is None:
                 free_slots += free
                 waits.append(wait)
             else:
                 share = state.rate_share(replica.name, now)
-                if state.limits.is_unused(replica, share, now):
+                if state.statements.is_unused(replica, share, now):
                     free_slots += min(free, 1)
                 limited_waits.append(
-                    wait + state.limits.wait_seconds(replica, share, now)
+                    wait + state.statements.wait_seconds(replica, share, now)
                 )
         waits = waits or limited_waits
         return ServiceLoad(len(waits), free_slots, min(waits))
@@ -317,7 +317,7 @@
 
         A replica with a limit gets too few of the prompts that share a part.
         """
-        limits = self._routing_state.limits
+        limits = self._routing_state.statements
         if limits.is_empty():
             return replicas
         return [r for r in replicas if limits.rate(r) is None] or replicas
@@ -333,12 +333,12 @@
             return state.pacer.may_send(replica.name, now) and bool(
                 state.rate_share(replica.name, now)
             )
-        return state.limits.is_empty() or self._has_share(replica, now)
+        return state.statements.is_empty() or self._has_share(replica, now)
 
     def _has_share(self, replica: Replica, now: float) -> bool:
         """Return whether the local host may use a part of a replica's limit."""
         state = self._routing_state
-        return state.limits.rate(replica) is None or bool(
+        return state.statements.rate(replica) is None or bool(
             state.rate_share(replica.name, now)
         )
 
@@ -354,14 +354,14 @@
         running = state.loads.total(replica.name, now).running
         if running >= slot_limit(replica, spec):
             return False
-        return state.limits.is_empty() or self._limit_allows(replica, now)
+        return state.statements.is_empty() or self._limit_allows(replica, now)
 
     def _limit_allows(self, replica: Replica, now: float) -> bool:
         state = self._routing_state
-        if state.limits.rate(replica) is None:
+        if state.statements.rate(replica) is None:
             return True
         share = state.rate_share(replica.name, now)
-        return share > 0 and state.limits.may_send(replica, share, now)
+        return share > 0 and state.statements.may_send(replica, share, now)
 
     def _local_region(self) -> str:
         hosts = self._routing_state.hosts
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -291,9 +291,9 @@
         state.loads.started(replica.name, tokens)
         state.health.test_started(replica.name, now)
         spec = state.fleet.service(replica.service)
-        if state.limits.rate(replica) is not None:
+        if state.statements.rate(replica) is not None:
             share = state.rate_share(replica.name, now)
-            state.limits.sent(replica, share, now)
+            state.statements.sent(replica, share, now)
         if state.fleet.is_cold(replica, now):
             state.pacer.sent(replica.name, spec.cold_rate, now)
         return Target(
--- a/sassafraskeel/decisions/request_limits.py
+++ b/sassafraskeel/decisions/replica_statements.py
@@ -48,7 +48,7 @@
     counted_at: float
 
 
-class RequestLimits:
+class ReplicaStatements:
     """The limits that replicas named, and the rate of the requests placed under them.
 
     A limit holds until the answer to a later request names none, or until the replica
--- a/sassafraskeel/gateways/heartbeats.py
+++ b/sassafraskeel/gateways/heartbeats.py
@@ -19,12 +19,12 @@
 )
 from sassafraskeel.gateways.codec import compute_host_checksum, decode_field
 from sassafraskeel.gateways.control_link import ControlLink
-from sassafraskeel.gateways.limit_relay import LimitRelay
 from sassafraskeel.gateways.messages import (
     NOT_DRAINING,
     RouteHeartbeat,
     RouteHeartbeatReply,
 )
+from sassafraskeel.gateways.statement_relay import StatementRelay
 
 MAX_ROWS = 8192
 # Loads of other regions that a coordinator passes on to the hosts of its region; more
@@ -63,12 +63,12 @@
     def __init__(
         self,
         state: HeartbeatState,
-        limit_relay: LimitRelay,
+        statement_relay: StatementRelay,
         clock: Clock,
         on_new_host: Callable[[], Awaitable[None]],
     ):
         self._state = state
-        self._limit_relay = limit_relay
+        self._limit_relay = statement_relay
         self._clock = clock
         self._on_new_host = on_new_host
         self._roster = Roster()
--- a/sassafraskeel/gateways/limit_relay.py
+++ b/sassafraskeel/gateways/statement_relay.py
@@ -5,7 +5,7 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import HostInfo
-from sassafraskeel.decisions.request_limits import RequestLimits, Statement
+from sassafraskeel.decisions.replica_statements import ReplicaStatements, Statement
 from sassafraskeel.gateways.codec import decode_field
 from sassafraskeel.gateways.messages import NO_LIMIT
 
@@ -16,7 +16,7 @@
 ROW_TYPES = (str, int, float, float)
 
 
-class LimitRelay:
+class StatementRelay:
     """Encodes the statements of replicas for a peer, and records those of peers.
 
     Every host hears limits in the answers to its own calls only, while a limit holds
@@ -24,7 +24,7 @@
     no coordinator, therefore has to know the limits that others heard.
     """
 
-    def __init__(self, limits: RequestLimits, clock: Clock, log: LogSink):
+    def __init__(self, limits: ReplicaStatements, clock: Clock, log: LogSink):
         self._limits = limits
         self._clock = clock
         self._log = log
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -6,7 +6,7 @@
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.types import Call, CallKind, Headers, ResponseHead
 from sassafraskeel.decisions.fleet import Replica
-from sassafraskeel.decisions.request_limits import NamedLimit
+from sassafraskeel.decisions.replica_statements import NamedLimit
 from sassafraskeel.platform import wire
 from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
 
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -35,12 +35,11 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
-from sassafraskeel.decisions.request_limits import RequestLimits
+from sassafraskeel.decisions.replica_statements import ReplicaStatements
 from sassafraskeel.decisions.shared_retry_budget import SharedRetryBudget
 from sassafraskeel.decisions.silence import SilenceDetector
 from sassafraskeel.gateways.drain_notice import notify_peers
 from sassafraskeel.gateways.heartbeats import HeartbeatState, RouteHeartbeats
-from sassafraskeel.gateways.limit_relay import LimitRelay
 from sassafraskeel.gateways.link_manager import LinkManager
 from sassafraskeel.gateways.manifests import ManifestPeers
 from sassafraskeel.gateways.messages import (
@@ -56,6 +55,7 @@
 from sassafraskeel.gateways.route_forwarding import RouteForwarder
 from sassafraskeel.gateways.route_links import LinkComponents, RouteLinks
 from sassafraskeel.gateways.server import GatewayServer, PeerComponents
+from sassafraskeel.gateways.statement_relay import StatementRelay
 from sassafraskeel.gateways.store_feed import FeedServer, FeedStore
 from sassafraskeel.store.crash_publisher import CrashPublisher
 from sassafraskeel.store.follower import StoreFollower
@@ -148,7 +148,7 @@
             SilenceDetector(),
             RegionLoads(),
             self.coordination.rate_share,
-            RequestLimits(),
+            ReplicaStatements(),
             CallCosts(),
         )
         self._build_store_tasks()
@@ -228,9 +228,11 @@
             self.placement.options.service_loads,
             lambda: self.fleet.version,
         )
-        limit_relay = LimitRelay(self._routing_state.limits, env.clock, env.log)
+        statement_relay = StatementRelay(
+            self._routing_state.statements, env.clock, env.log
+        )
         heartbeats = RouteHeartbeats(
-            heartbeat_state, limit_relay, env.clock, self._on_new_peer
+            heartbeat_state, statement_relay, env.clock, self._on_new_peer
         )
         self._links = LinkManager(
             self.cfg.peers,
@@ -481,7 +483,7 @@
         self.loads.retain(names)
         self.prompt_caches.retain(names)
         self._routing_state.health.retain(names)
-        self._routing_state.limits.retain(names)
+        self._routing_state.statements.retain(names)
         await self._route_links.notify_change()
 
     async def _on_store_restored(self) -> None:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -23,7 +23,7 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import Call, CallKind, Headers, ResponseHead
 from sassafraskeel.decisions.fleet import Replica
-from sassafraskeel.decisions.request_limits import NamedLimit
+from sassafraskeel.decisions.replica_statements import NamedLimit
 from sassafraskeel.upstreams.pool import ConnectionPool
 
 # A call that must not run twice uses a pooled connection only if it was idle for less
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -33,7 +33,7 @@
 from sassafraskeel.decisions.pacing import ColdPacer
 from sassafraskeel.decisions.prompt_caches import PromptCaches
 from sassafraskeel.decisions.region_loads import RegionLoads
-from sassafraskeel.decisions.request_limits import NamedLimit, RequestLimits
+from sassafraskeel.decisions.replica_statements import NamedLimit, ReplicaStatements
 from sassafraskeel.decisions.routes import (
     CallerLimits,
     EngineSpec,
@@ -197,7 +197,7 @@
             SilenceDetector(),
             RegionLoads(),
             lambda name, now: 1.0,
-            RequestLimits(),
+            ReplicaStatements(),
             CallCosts(),
         )
 
@@ -251,7 +251,7 @@
         now = self.clock.monotonic()
         self._states[index].loads.reported(target.name, engine.requests, now)
         limit = NamedLimit(self.limits.get(target.name))
-        self._states[index].limits.answered(target.upstream, limit, now, now)
+        self._states[index].statements.answered(target.upstream, limit, now, now)
         await placement.head_received(target)
         await engine.decode(output)
         await placement.release(target, call, True, self.clock.monotonic() - started)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -13,14 +13,14 @@
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.types import HostInfo, ResponseHead
 from sassafraskeel.decisions.fleet import Replica
-from sassafraskeel.decisions.request_limits import (
+from sassafraskeel.decisions.replica_statements import (
     BURST,
     MIN_RATE,
     NamedLimit,
-    RequestLimits,
+    ReplicaStatements,
     Statement,
 )
-from sassafraskeel.gateways.limit_relay import MAX_ROWS, LimitRelay
+from sassafraskeel.gateways.statement_relay import MAX_ROWS, StatementRelay
 from sassafraskeel.platform.replicas import PlatformReplicaInterface
 from tests.support.clock import VirtualClock
 from tests.support.routes import manifest, with_routes
@@ -48,7 +48,7 @@
 
 class StatementTest(TestCase):
     def setUp(self):
-        self.limits = RequestLimits()
+        self.limits = ReplicaStatements()
 
     def test_late_answer(self):
         """Guards against a limit that an older answer without one ends."""
@@ -97,7 +97,7 @@
     )
     def test_rate(self, rates, share, pauses):
         """Guards against more requests in any time than the limits in force allow."""
-        limits, now, times = RequestLimits(), 0.0, []
+        limits, now, times = ReplicaStatements(), 0.0, []
         for number, pause in enumerate([0.0, *pauses]):
             limit = rates[number % len(rates)]
             limits.answered(replica(), NamedLimit(limit), now, now)
@@ -113,7 +113,7 @@
 
     def test_lower_limit_ends(self):
         """Guards against a wait that was computed with a limit that has changed."""
-        limits = RequestLimits()
+        limits = ReplicaStatements()
         limits.answered(replica(), NamedLimit(0.0), 0.0, 0.0)
         limits.sent(replica(), 1.0, 20.0)
         limits.answered(replica(), NamedLimit(10.0), 20.0, 20.0)
@@ -124,18 +124,18 @@
     def test_many_limits(self):
         """Guards against limits that are never told because there are too many."""
         clock = VirtualClock()
-        limits, told = RequestLimits(), RequestLimits()
+        limits, told = ReplicaStatements(), ReplicaStatements()
         for number in range(3 * MAX_ROWS):
             limits.answered(replica(f"r-{number}"), NamedLimit(1.0), 0.0, 0.0)
-        relay = LimitRelay(limits, clock, NullLog())
-        other = LimitRelay(told, clock, NullLog())
+        relay = StatementRelay(limits, clock, NullLog())
+        other = StatementRelay(told, clock, NullLog())
         for _ in range(3):
             other.record(PEER, relay.rows(PEER))
         self.assertEqual(len(told.statements(0.0)), 3 * MAX_ROWS)
 
     def test_malformed(self):
         """Guards against rows that end a link's task with an unexpected error."""
-        relay = LimitRelay(RequestLimits(), VirtualClock(), NullLog())
+        relay = StatementRelay(ReplicaStatements(), VirtualClock(), NullLog())
         for row in ([], ["r-0", 1, 1.0], ["r-0", 1, float("nan"), 0.0], [1, 1, 1.0, 0]):
             with self.assertRaises(ProtocolError):
                 relay.record(PEER, [row])
@@ -263,7 +263,7 @@
         self.assertEqual((limited.probes, limited.arrivals), (1, 0))
         for host in world.hosts[:4]:
             replica = host.fleet.get(limited.name)
-            self.assertEqual(host._routing_state.limits.rate(replica), 2.0)
+            self.assertEqual(host._routing_state.statements.rate(replica), 2.0)
 
     @with_routes(world_options=FLEET)
     async def test_limit_of_another_replica(self, world):
@@ -273,7 +273,7 @@
         other.name, other.limit = "r-other", "1"
         await send_reads(world, 2)
         self.assertGreater(other.arrivals, 0)
-        self.assertIsNone(host._routing_state.limits.rate(replica))
+        self.assertIsNone(host._routing_state.statements.rate(replica))
 
     @with_routes(world_options=FLEET)
     async def test_shares_exceed_limit(self, world):
@@ -305,12 +305,16 @@
         limited.limit = "1"
         await send_reads(world, 4, hosts=[0])
         replica = world.hosts[0].fleet.get(limited.name)
-        rates = [host._routing_state.limits.rate(replica) for host in world.hosts[:4]]
+        rates = [
+            host._routing_state.statements.rate(replica) for host in world.hosts[:4]
+        ]
         self.assertEqual(rates, [1.0] * 4)
         limited.limit = ""
         # A request a second is sent, and its answer is told to the others.
         await send_reads(world, 4, hosts=[0])
-        rates = [host._routing_state.limits.rate(replica) for host in world.hosts[:4]]
+        rates = [
+            host._routing_state.statements.rate(replica) for host in world.hosts[:4]
+        ]
         self.assertEqual(rates, [None] * 4)
         ended_at = world.clock.monotonic()
         await send_reads(world, 4)
--- a/tools/route_demo.py
+++ b/tools/route_demo.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
-from sassafraskeel.decisions.request_limits import BURST
+from sassafraskeel.decisions.replica_statements import BURST
 from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
 from sassafraskeel.emulators.store import COPY_PATH
 from tools.route_cluster import RouteCluster, call, fetch, replica_entry
