Place nothing new at replicas that say that they leave

The header was read nowhere, so a replica that the store still listed as ready went on getting calls until its entry changed.

The answers of a replica, also rejections, the heads of streams and answers to probes, now say whether it leaves. The table of statements holds that for the run of the replica, keyed by its name and start, so that a new run is used and a late answer of an earlier one says nothing of it. The cached lists of replicas leave such runs out; the check before the first byte refuses a slot that was taken or granted before. A host tells its coordinator with each request for a slot, and all hosts of the region with the rows of statements in heartbeats (messages 86 and 87 instead of 77 and 78). Events 323 to 325, and `passed_over` in event 314, tell of it for a call.

ReplicaStatements.retain now takes the starts of the listed replicas beside their names, so the call in tests.test_request_limits has that argument.

--- a/sassafraskeel/calls/replica_states.py
+++ b/sassafraskeel/calls/replica_states.py
@@ -24,6 +24,7 @@
             return  # Another replica answers at the address.
         state, now = self._routing_state, self._clock.monotonic()
         self._record_limit(replica, head.limit, sent_at, now)
+        self._record_leaving(replica, head.leaving, sent_at)
         if head.requests is not None:
             state.loads.reported(replica.name, head.requests, now)
         if head.cold_seconds:
@@ -50,15 +51,29 @@
         self, replica: Replica, health: ReplicaHealth, sent_at: float
     ) -> None:
         self._record_limit(replica, health.limit, sent_at, self._clock.monotonic())
+        self._record_leaving(replica, health.leaving, sent_at)
+
+    def _record_leaving(
+        self, replica: Replica, leaving: bool | None, sent_at: float
+    ) -> None:
+        if leaving is None:
+            self._log.emit(Event.LEAVING_MALFORMED, replica=replica.name)
+        elif leaving and self._routing_state.statements.heard_leaving(replica, sent_at):
+            self._log.emit(
+                Event.REPLICA_LEAVING,
+                replica=replica.name,
+                started_at_ms=replica.started_at_ms,
+                source="",
+            )
 
     def _record_limit(
         self, replica: Replica, limit: NamedLimit | None, sent_at: float, now: float
     ) -> None:
-        limits = self._routing_state.statements
+        statements = self._routing_state.statements
         if limit is None:
             # A limit that is already known still holds.
             self._log.emit(Event.LIMIT_MALFORMED, replica=replica.name)
-        elif limits.answered(replica, limit, sent_at, now):
+        elif statements.answered(replica, limit, sent_at, now):
             self._log.emit(
                 Event.LIMIT_CHANGED, replica=replica.name, rate=limit.rate, source=""
             )
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -279,6 +279,9 @@
                 raise not_run_refusal(
                     Reason.NO_UPSTREAM, f"{replica.name} takes no new work"
                 )
+            if self._routing_state.statements.is_leaving(replica):
+                # It may have said so after the slot was taken or granted.
+                raise not_run_refusal(Reason.OVERLOADED, f"{replica.name} is leaving")
             if target.grant is not None and now >= target.grant.expires:
                 raise not_run_refusal(
                     Reason.OVERLOADED, f"the grant of {replica.name} has lapsed"
@@ -391,7 +394,7 @@
                 self._routing_state.hosts.mark_unreachable(target.host, now)
             return
         now = self._clock.monotonic()
-        accepts_work = self._routing_state.fleet.accepts_work(target.upstream, now)
+        accepts_work = self._routing_state.accepts_work(target.upstream, now)
         failure = attempt_failure(refusal, accepts_work)
         if failure is not None:
             await self._placement.attempt_failed(target, failure)
@@ -410,6 +413,7 @@
             requests=target.requests,
             limit=target.upstream
             and self._routing_state.statements.rate(target.upstream),
+            passed_over=self._routing_state.passed_over(call.service),
             coordinator=target.grant.coordinator if target.grant else "",
             store_age_ms=self._routing_state.hosts.store_age_ms(now),
             left_ms=round((call.expires - now) * 1000),
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -33,6 +33,8 @@
 # which does not increment `Fleet.changes`.
 REPLICA_CACHE_SECONDS = 0.2
 MAX_CACHED_SERVICES = 256
+# Replicas passed over that the log names for a call.
+MAX_PASSED_OVER = 4
 # A stream that no host can resume for the rest of its time goes to one that stays for
 # this multiple of the expected time. With a log-normal spread of 0.7, as deployments
 # state it, less than 5 in 100 whole streams take longer.
@@ -45,11 +47,11 @@
 class _CachedReplicas(NamedTuple):
     """The replicas of a service by region.
 
-    `changes` is the change counter of the fleet at `cached_at`.
+    `changes` are the change counters of the fleet and of the statements at `cached_at`.
     """
 
     cached_at: float
-    changes: int
+    changes: tuple[int, int]
     regions: dict[str, list[Replica]]
 
 
@@ -89,6 +91,26 @@
     statements: ReplicaStatements
     call_costs: CallCosts
 
+    def accepts_work(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica takes new work by its entry and by its answers."""
+        return self.fleet.accepts_work(replica, now) and not self.statements.is_leaving(
+            replica
+        )
+
+    def leaving(self) -> list[Replica]:
+        """Return the listed replicas that have said that they leave."""
+        return [
+            replica
+            for name, started_at_ms in self.statements.leaving()
+            if (replica := self.fleet.get(name)) is not None
+            and replica.started_at_ms == started_at_ms
+        ]
+
+    def passed_over(self, service: str) -> list[str]:
+        """Return some listed replicas of a service that get no new calls, and why."""
+        names = [r.name for r in self.leaving() if r.service == service]
+        return [f"{name} leaving" for name in names[:MAX_PASSED_OVER]]
+
 
 class RouteOptions:
     """Lists the usable replicas of the local region and the usable other regions."""
@@ -317,10 +339,10 @@
 
         A replica with a limit gets too few of the prompts that share a part.
         """
-        limits = self._routing_state.statements
-        if limits.is_empty():
+        statements = self._routing_state.statements
+        if statements.is_empty():
             return replicas
-        return [r for r in replicas if limits.rate(r) is None] or replicas
+        return [r for r in replicas if statements.rate(r) is None] or replicas
 
     def _is_usable(self, replica: Replica, now: float) -> bool:
         state = self._routing_state
@@ -368,18 +390,22 @@
         return hosts.region_of(hosts.local_host)
 
     def _replicas_by_region(self, service: str, now: float) -> dict[str, list[Replica]]:
-        fleet = self._routing_state.fleet
+        state = self._routing_state
+        changes = (state.fleet.changes, state.statements.changes)
         cached = self._replica_cache.get(service)
         if (
             cached is None
-            or cached.changes != fleet.changes
+            or cached.changes != changes
             or not 0 <= now - cached.cached_at < REPLICA_CACHE_SECONDS
         ):
             if len(self._replica_cache) >= MAX_CACHED_SERVICES:
                 self._replica_cache.clear()
-            regions = fleet.by_region(service, now)
+            regions = {
+                region: [r for r in replicas if not state.statements.is_leaving(r)]
+                for region, replicas in state.fleet.by_region(service, now).items()
+            }
             cached = self._replica_cache[service] = _CachedReplicas(
-                now, fleet.changes, regions
+                now, changes, regions
             )
         return cached.regions
 
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -81,6 +81,11 @@
     )
     RESUME_FAILED = EventSpec(321, Level.INFO, "attempt to resume a stream failed")
     REPLICA_OUTDATED = EventSpec(322, Level.INFO, "older entry of a replica ignored")
+    REPLICA_LEAVING = EventSpec(323, Level.INFO, "replica says that it leaves")
+    LEAVING_MALFORMED = EventSpec(
+        324, Level.WARNING, "leaving header of a replica is malformed"
+    )
+    GRANT_UNUSED = EventSpec(325, Level.INFO, "granted replica was passed over")
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
--- a/sassafraskeel/decisions/replica_statements.py
+++ b/sassafraskeel/decisions/replica_statements.py
@@ -1,4 +1,4 @@
-"""Limits on the rate of requests that replicas name in their answers."""
+"""What replicas say of themselves in their answers: limits and that they leave."""
 
 from typing import NamedTuple
 
@@ -17,6 +17,10 @@
 # The end of a limit is remembered for this long, so that hosts that have not heard of
 # it do not renew the limit.
 ENDED_TTL_SECONDS = 30.0
+# That a replica leaves is remembered for this long after its entry is gone, because the
+# entry may come back when the store does. Replicas that leave serve for their drain
+# time and, as the platform has it, at times many seconds more.
+LEAVING_TTL_SECONDS = 60.0
 
 
 class NamedLimit(NamedTuple):
@@ -33,12 +37,21 @@
     """The latest known statement of one run of a replica.
 
     `said_at` is in local monotonic seconds: when an answer with a limit arrived, or
-    when the request was sent whose answer named none.
+    when the request was sent whose answer named none. `leaving` is True from the first
+    answer that said so to the end of the run.
     """
 
     started_at_ms: int
     rate: float | None
     said_at: float
+    leaving: bool = False
+
+
+class _Run(NamedTuple):
+    """A run of a replica. Late answers of an earlier run say nothing of a later one."""
+
+    name: str
+    started_at_ms: int
 
 
 class _Allowance(NamedTuple):
@@ -49,27 +62,45 @@
 
 
 class ReplicaStatements:
-    """The limits that replicas named, and the rate of the requests placed under them.
+    """What replicas said, and the rate of the requests placed under their limits.
 
     A limit holds until the answer to a later request names none, or until the replica
-    starts anew. Only replicas that named a limit are kept, at most MAX_NAMES of them.
-    Arguments called `share` are the share of a limit that the local host may use.
+    starts anew. A replica that leaves does so until it starts anew. Only runs that
+    named a limit or leave are kept, at most MAX_NAMES of them. Arguments called `share`
+    are the share of a limit that the local host may use.
     """
 
     def __init__(self):
-        self._statements: dict[str, Statement] = {}
-        self._allowances: dict[str, _Allowance] = {}
+        self._statements: dict[_Run, Statement] = {}
+        self._allowances: dict[_Run, _Allowance] = {}
+        self._leaving: set[_Run] = set()
+        self._listed: dict[str, int] = {}
+        # Incremented when the set of replicas that leave changes.
+        self.changes = 0
 
     def is_empty(self) -> bool:
         """Return whether no replica is known to have named a limit."""
-        return not self._statements
+        return not self._allowances
+
+    def is_leaving(self, replica: Replica) -> bool:
+        """Return whether a run of a replica has said that it leaves."""
+        return bool(self._leaving) and _run(replica) in self._leaving
+
+    def leaving(self) -> list[tuple[str, int]]:
+        """Return the name and the start of each run that has said that it leaves."""
+        return list(self._leaving)
+
+    def heard_leaving(self, replica: Replica, sent_at: float) -> bool:
+        """Record that a replica said that it leaves; return whether that is new.
+
+        `sent_at` is when the request was sent whose answer said so.
+        """
+        return self._record_leaving(_run(replica), sent_at, sent_at)
 
     def rate(self, replica: Replica) -> float | None:
         """Return the requests per second that a replica takes, None without a limit."""
-        statement = self._statements.get(replica.name)
-        if statement is None or statement.started_at_ms != replica.started_at_ms:
-            return None
-        return statement.rate
+        statement = self._statements.get(_run(replica))
+        return None if statement is None else statement.rate
 
     def may_send(self, replica: Replica, share: float, now: float) -> bool:
         """Return whether the local host may place a request at a replica now."""
@@ -94,7 +125,7 @@
         """Count a request that is placed at a replica."""
         if self.rate(replica) is not None:
             requests = self._allowed_requests(replica, share, now) - 1
-            self._allowances[replica.name] = _Allowance(requests, now)
+            self._allowances[_run(replica)] = _Allowance(requests, now)
 
     def answered(
         self, replica: Replica, limit: NamedLimit, sent_at: float, now: float
@@ -105,17 +136,13 @@
         before an earlier answer named one, and may arrive later, so that it ends the
         limit only if its request was sent after that.
         """
-        known = self._statements.get(replica.name)
-        if limit.rate is None:
-            is_known = (
-                known is not None and known.started_at_ms == replica.started_at_ms
-            )
-            if not is_known or sent_at < known.said_at:
-                return False
+        known = self._statements.get(_run(replica))
+        if limit.rate is None and (known is None or sent_at < known.said_at):
+            return False
         previous = self.rate(replica)
         said_at = sent_at if limit.rate is None else now
         statement = Statement(replica.started_at_ms, limit.rate, said_at)
-        self._store(replica.name, statement, now)
+        self._store(_run(replica), statement, now)
         return limit.rate != previous
 
     def relayed(self, name: str, statement: Statement, now: float) -> bool:
@@ -123,42 +150,78 @@
 
         The newest statement holds, whichever host heard it.
         """
-        known = self._statements.get(name)
+        run = _Run(name, statement.started_at_ms)
+        known = self._statements.get(run)
         if known is None:
             if statement.rate is None:
                 return False
         elif statement.said_at < known.said_at + RELAY_ERROR_SECONDS:
             return False
-        self._store(name, statement, now)
-        return known is None or statement[:2] != known[:2]
+        self._store(run, statement, now)
+        return known is None or statement.rate != known.rate
+
+    def relayed_leaving(self, name: str, statement: Statement, now: float) -> bool:
+        """Record whether a replica leaves, as told; return whether that is new."""
+        run = _Run(name, statement.started_at_ms)
+        return statement.leaving and self._record_leaving(run, statement.said_at, now)
 
     def statements(self, now: float) -> list[tuple[str, Statement]]:
-        """Return the latest statement of each replica, to be told to other hosts."""
-        for name, statement in list(self._statements.items()):
+        """Return the latest statement of each run, to be told to other hosts."""
+        for run, statement in list(self._statements.items()):
             age = now - statement.said_at
-            if statement.rate is None and age >= ENDED_TTL_SECONDS:
-                self._drop(name)
-        return list(self._statements.items())
+            if statement.leaving:
+                outdated = age >= LEAVING_TTL_SECONDS and not self._is_listed(run)
+            else:
+                outdated = statement.rate is None and age >= ENDED_TTL_SECONDS
+            if outdated:
+                self._drop(run)
+        return [(run.name, statement) for run, statement in self._statements.items()]
+
+    def retain(self, listed: dict[str, int]) -> None:
+        """Forget the limits of runs that are gone.
+
+        `listed` holds the starts of the listed replicas by their names.
+        """
+        self._listed = listed
+        for run, statement in list(self._statements.items()):
+            if not statement.leaving and not self._is_listed(run):
+                self._drop(run)
 
-    def retain(self, names: set[str]) -> None:
-        """Forget the limits of replicas that are gone."""
-        for name in [name for name in self._statements if name not in names]:
-            self._drop(name)
+    def _is_listed(self, run: _Run) -> bool:
+        return self._listed.get(run.name) == run.started_at_ms
+
+    def _record_leaving(self, run: _Run, said_at: float, now: float) -> bool:
+        if run in self._leaving:
+            return False
+        known = self._statements.get(run)
+        statement = known or Statement(run.started_at_ms, None, said_at)
+        self._leaving.add(run)
+        self.changes += 1
+        self._store(run, statement, now)
+        return True
 
     def _allowed_requests(self, replica: Replica, share: float, now: float) -> float:
-        requests, counted_at = self._allowances[replica.name]
+        requests, counted_at = self._allowances[_run(replica)]
         added = self.usable_rate(replica, share) * (now - counted_at)
         return min(requests + added, BURST)
 
-    def _store(self, name: str, statement: Statement, now: float) -> None:
-        known = self._statements.get(name)
-        self._statements[name] = statement
-        if known is None or known.rate is None:
+    def _store(self, run: _Run, statement: Statement, now: float) -> None:
+        known = self._statements.get(run)
+        self._statements[run] = statement._replace(leaving=run in self._leaving)
+        is_limited = known is not None and known.rate is not None
+        if statement.rate is not None and not is_limited:
             # The replica has just got more requests than it takes.
-            self._allowances[name] = _Allowance(0.0, now)
+            self._allowances[run] = _Allowance(0.0, now)
         if len(self._statements) > MAX_NAMES:
             self._drop(next(iter(self._statements)))
 
-    def _drop(self, name: str) -> None:
-        del self._statements[name]
-        self._allowances.pop(name, None)
+    def _drop(self, run: _Run) -> None:
+        del self._statements[run]
+        self._allowances.pop(run, None)
+        if run in self._leaving:
+            self._leaving.discard(run)
+            self.changes += 1
+
+
+def _run(replica: Replica) -> _Run:
+    return _Run(replica.name, replica.started_at_ms)
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -13,11 +13,14 @@
 
 RESPONSE_STAMP = (b"x-sassafraskeel-response-stamp", b"1.1")
 LIMIT_HEADER = b"server-limit"
+LEAVING_HEADER = b"server-leaving"
 
 # Path at which tests read the ledger of a replica.
 LEDGER_PATH = "/test/ledger"
 # Path at which tests set the limit that a replica names, as the body of the request.
 LIMIT_PATH = "/test/limit"
+# Path at which tests set what a replica says of its leaving, as the body.
+LEAVING_PATH = "/test/leaving"
 
 
 class Run(NamedTuple):
@@ -37,9 +40,10 @@
     many events. When it would begin to answer a request to `crash_path`, or a prompt
     with the part `crash_part`, it crashes: all its connections end, a stream after its
     head, and it is back after `restart_seconds`. Unless `limit` is empty, answers and
-    health checks name it as the requests per second that the replica takes. `name` is
-    the instance id of the replica; requests that expect another instance are answered
-    with 421.
+    health checks name it as the requests per second that the replica takes. Unless
+    `leaving` is empty, they have it as the value that says whether the replica leaves.
+    `name` is the instance id of the replica; requests that expect another instance are
+    answered with 421.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         self.cold_ms = 0
         self.sequence = 0
         self.limit = ""
+        self.leaving = ""
         self.arrivals = 0
         self.arrival_times: list[float] = []
         self.probes = 0
@@ -118,24 +123,27 @@
         if request.path == LIMIT_PATH:
             self.limit = request.body.decode()
             return json_reply({})
+        if request.path == LEAVING_PATH:
+            self.leaving = request.body.decode()
+            return json_reply({})
         if request.path == "/healthz":
             self.probes += 1
             headers = [(b"x-sassafraskeel-instance-id", self.name.encode())]
             if self.cold_ms:
                 cold = str(self.cold_ms).encode()
                 headers.append((b"x-sassafraskeel-cold-ms", cold))
-            return Reply(200, b"{}", (*headers, *self._limit_headers()))
+            return Reply(200, b"{}", (*headers, *self._state_headers()))
         self.arrivals += 1
         self.arrival_times.append(self._clock.monotonic())
         self.headers.append(dict(request.headers))
         request_id = request.header(b"x-sassafraskeel-request-id")
         echo = (b"x-sassafraskeel-request-id", request_id.encode())
         if request.header(b"x-sassafraskeel-expect-instance") != self.name:
-            return json_reply({}, 421, (echo, *self._limit_headers()))
+            return json_reply({}, 421, (echo, *self._state_headers()))
         if self.refuse:
             self.refuse -= 1
             rejection = (echo, (b"x-sassafraskeel-not-executed", b"1"))
-            return json_reply({}, 503, (*rejection, *self._limit_headers()))
+            return json_reply({}, 503, (*rejection, *self._state_headers()))
         return await self._execute(request, request_id, echo)
 
     async def _execute(self, request, request_id, echo) -> Reply:
@@ -155,7 +163,7 @@
             await self._crash()
         load = f"{self.running},0,{self.slots}".encode()
         load_header = (b"x-sassafraskeel-server-load", load)
-        headers = (echo, RESPONSE_STAMP, load_header, *self._limit_headers())
+        headers = (echo, RESPONSE_STAMP, load_header, *self._state_headers())
         if self.fail:
             self.fail -= 1
             return json_reply({"error": "failed"}, 500, headers)
@@ -165,10 +173,10 @@
         stream = self._stream(int(last_event_id or 0), crashes)
         return Reply(200, stream, (*headers, content_type))
 
-    def _limit_headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        if not self.limit:
-            return ()
-        return ((LIMIT_HEADER, self.limit.encode()),)
+    def _state_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers in which the replica speaks of itself."""
+        values = ((LIMIT_HEADER, self.limit), (LEAVING_HEADER, self.leaving))
+        return tuple((name, value.encode()) for name, value in values if value)
 
     def _crashes_on(self, request: Request) -> bool:
         if request.path == self.crash_path:
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -114,14 +114,15 @@
     74: ReplicaReservation,
     75: ReservationReply,
     76: PlacementRequest,
-    77: RouteHeartbeat,
-    78: RouteHeartbeatReply,
+    # 77 and 78 were heartbeats that did not say which replicas leave.
     # 80 was DrainNotice without the capacity of the host.
     81: DrainNotice,
     82: FeedRequest,
     83: FeedChanges,
     84: ManifestDocument,
     85: RouteOffer,
+    86: RouteHeartbeat,
+    87: RouteHeartbeatReply,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/heartbeats.py
+++ b/sassafraskeel/gateways/heartbeats.py
@@ -54,10 +54,10 @@
     """Builds and processes the heartbeats of hosts that serve routes.
 
     Hosts announce to the coordinators of their region the loads that these have not
-    granted, and get the roster and the loads of other regions. Both tell each other the
-    limits that replicas named. Coordinators of
-    different regions tell each other the loads and the rosters of their regions.
-    `on_new_host` is called after the first message of an incarnation of a host.
+    granted, and get the roster and the loads of other regions. Both tell each other
+    what replicas said of themselves. Coordinators of different regions tell each other
+    the loads and the rosters of their regions. `on_new_host` is called after the first
+    message of an incarnation of a host.
     """
 
     def __init__(
@@ -68,7 +68,7 @@
         on_new_host: Callable[[], Awaitable[None]],
     ):
         self._state = state
-        self._limit_relay = statement_relay
+        self._statement_relay = statement_relay
         self._clock = clock
         self._on_new_host = on_new_host
         self._roster = Roster()
@@ -79,12 +79,12 @@
     def next_message(self, peer: HostInfo) -> RouteHeartbeat:
         """Return the next heartbeat message to a host."""
         state, now = self._state, self._clock.monotonic()
-        loads, limits = [], []
+        loads, statements = [], []
         if self._is_in_region(peer):
             loads = [
                 [name, *load] for name, load in state.announced_loads(peer.name).items()
             ]
-            limits = self._limit_relay.rows(peer)
+            statements = self._statement_relay.rows(peer)
         incarnation, version = self._known_rosters.get(peer.name, ("", 0))
         coordinates = state.coordination.is_coordinator(now)
         return RouteHeartbeat(
@@ -92,7 +92,7 @@
             self._draining_seconds(state.hosts.local_host, now),
             compute_host_checksum(state.hosts.local_host),
             loads,
-            limits,
+            statements,
             version if incarnation == peer.incarnation else 0,
             coordinates,
             self._own_services(now) if coordinates else [],
@@ -109,7 +109,7 @@
         peer, now = link.peer, self._clock.monotonic()
         await self._update_member(peer, reply, now)
         if self._is_in_region(peer):
-            self._limit_relay.record(peer, reply.limits)
+            self._statement_relay.record(peer, reply.statements)
         if not reply.coordinates:
             return
         state = self._state
@@ -139,7 +139,7 @@
         if self._is_in_region(peer):
             loads = decode_loads(heartbeat.loads)
             self._state.loads.update_announced(peer.name, loads, now)
-            self._limit_relay.record(peer, heartbeat.limits)
+            self._statement_relay.record(peer, heartbeat.statements)
         elif heartbeat.coordinates:
             services = decode_services(heartbeat.services)
             self._update_region(self._state.hosts.region_of(peer), services, now)
@@ -157,7 +157,7 @@
             self._draining_seconds(state.hosts.local_host, now),
             compute_host_checksum(state.hosts.local_host),
             coordinates,
-            self._limit_relay.rows(peer) if self._is_in_region(peer) else [],
+            self._statement_relay.rows(peer) if self._is_in_region(peer) else [],
             self._own_services(now) if coordinates else [],
             self._regions(now) if coordinates and self._is_in_region(peer) else [],
             update.version,
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -187,18 +187,19 @@
     NOT_DRAINING. A row of `loads` holds the name of a replica, the number of the
     sender's requests in flight at that replica, and the number of their prompt tokens
     that the replica has yet to process; requests that the receiver granted are left
-    out. A row of `limits` holds the name of a replica, the start of its run in Unix
-    milliseconds, the limit that it named or NO_LIMIT, and the age of that statement in
-    seconds. `roster_version` is the version of the receiver's roster that the sender
-    has, or 0. A host that coordinates its region sends the load of its services: a row
-    of `services` holds a name and the fields of decisions.region_loads.ServiceLoad.
+    out. A row of `statements` holds the name of a replica, the start of its run in
+    Unix milliseconds, the limit that it named or NO_LIMIT, the age of that statement in
+    seconds, and whether the replica leaves. `roster_version` is the version of the
+    receiver's roster that the sender has, or 0. A host that coordinates
+    its region sends the load of its services: a row of `services` holds a name and the
+    fields of decisions.region_loads.ServiceLoad.
     """
 
     version: int
     draining_seconds: float
     host_checksum: int
     loads: list
-    limits: list
+    statements: list
     roster_version: int
     coordinates: bool
     services: list
@@ -218,7 +219,7 @@
     draining_seconds: float
     host_checksum: int
     coordinates: bool
-    limits: list
+    statements: list
     services: list
     regions: list
     roster_version: int
--- a/sassafraskeel/gateways/placement.py
+++ b/sassafraskeel/gateways/placement.py
@@ -169,6 +169,7 @@
         excluded = [
             *self._state.health.unusable(now),
             *self._state.silence_detector.silent_names(now),
+            *(replica.name for replica in self._state.leaving()),
         ][:MAX_EXCLUDED]
         return PlacementRequest(
             number=number,
@@ -196,11 +197,12 @@
     ) -> Target | None:
         now = self._clock.monotonic()
         replica = self._state.fleet.get(reply.replica)
-        usable = replica is not None and self._state.fleet.accepts_work(replica, now)
+        usable = replica is not None and self._state.accepts_work(replica, now)
         if not usable or now >= grant.expires:
             # The coordinator may know the replica before the local host does.
             if not usable:
                 history.excluded.add(reply.replica)
+                self._log_unused(call, reply.replica)
             await self._notify(link, CallProgress(grant.number, "ended", NO_VALUE))
             return None
         target = Target(
@@ -218,6 +220,15 @@
         self._change_granted(target, Load(1, reply.prompt_tokens))
         return target
 
+    def _log_unused(self, call: Call, name: str) -> None:
+        leaving = any(replica.name == name for replica in self._state.leaving())
+        self._log.emit(
+            Event.GRANT_UNUSED,
+            call=call.call_id,
+            to=name,
+            cause="leaving" if leaving else "unlisted",
+        )
+
     def _reported_requests(self, target: Target) -> float:
         now = self._clock.monotonic()
         requests = self._state.loads.reported_requests(target.name, now)
--- a/sassafraskeel/gateways/statement_relay.py
+++ b/sassafraskeel/gateways/statement_relay.py
@@ -1,4 +1,4 @@
-"""Tells the other hosts of a region which limits replicas named, in heartbeats."""
+"""Tells the other hosts of a region what replicas said of themselves, in heartbeats."""
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import ProtocolError
@@ -9,23 +9,24 @@
 from sassafraskeel.gateways.codec import decode_field
 from sassafraskeel.gateways.messages import NO_LIMIT
 
-# Heartbeats are sent every 0.4 s, so that 16 rows of 45 bytes take about 2 KB a second.
+# Heartbeats are sent every 0.4 s, so that 16 rows of 46 bytes take about 2 KB a second.
 # If there are more rows, successive heartbeats to a host take turns with them.
 MAX_ROWS = 16
 MAX_PEERS = 1024
-ROW_TYPES = (str, int, float, float)
+ROW_TYPES = (str, int, float, float, bool)
 
 
 class StatementRelay:
     """Encodes the statements of replicas for a peer, and records those of peers.
 
-    Every host hears limits in the answers to its own calls only, while a limit holds
-    for all hosts together. A host that starts to coordinate its region, or that reaches
-    no coordinator, therefore has to know the limits that others heard.
+    Every host hears the answers to its own calls only, while a limit holds for all
+    hosts together and a replica that leaves is to get no more work of any. A host that
+    starts to coordinate its region, or that reaches no coordinator, therefore has to
+    know what others heard.
     """
 
-    def __init__(self, limits: ReplicaStatements, clock: Clock, log: LogSink):
-        self._limits = limits
+    def __init__(self, statements: ReplicaStatements, clock: Clock, log: LogSink):
+        self._statements = statements
         self._clock = clock
         self._log = log
         self._next_rows: dict[str, int] = {}
@@ -33,7 +34,7 @@
     def rows(self, peer: HostInfo) -> list:
         """Return the rows for the next heartbeat to a host."""
         now = self._clock.monotonic()
-        statements = self._limits.statements(now)
+        statements = self._statements.statements(now)
         if len(statements) > MAX_ROWS:
             if peer.name not in self._next_rows and len(self._next_rows) >= MAX_PEERS:
                 self._next_rows.clear()
@@ -49,7 +50,14 @@
         now = self._clock.monotonic()
         for row in rows[:MAX_ROWS]:
             name, statement = _decode_statement(row, now)
-            if self._limits.relayed(name, statement, now):
+            if self._statements.relayed_leaving(name, statement, now):
+                self._log.emit(
+                    Event.REPLICA_LEAVING,
+                    replica=name,
+                    started_at_ms=statement.started_at_ms,
+                    source=peer.name,
+                )
+            if self._statements.relayed(name, statement, now):
                 self._log.emit(
                     Event.LIMIT_CHANGED,
                     replica=name,
@@ -60,12 +68,13 @@
 
 def _encode_statement(name: str, statement: Statement, now: float) -> list:
     rate = NO_LIMIT if statement.rate is None else statement.rate
-    return [name, statement.started_at_ms, rate, max(now - statement.said_at, 0.0)]
+    age = max(now - statement.said_at, 0.0)
+    return [name, statement.started_at_ms, rate, age, statement.leaving]
 
 
 def _decode_statement(row, now: float) -> tuple[str, Statement]:
     if not isinstance(row, list) or len(row) != len(ROW_TYPES):
-        raise ProtocolError("a row with a limit is malformed")
-    name, started_at_ms, rate, age = map(decode_field, row, ROW_TYPES)
+        raise ProtocolError("a row with a statement of a replica is malformed")
+    name, started_at_ms, rate, age, leaving = map(decode_field, row, ROW_TYPES)
     named_rate = None if rate < 0 else rate
-    return name, Statement(started_at_ms, named_rate, now - max(age, 0.0))
+    return name, Statement(started_at_ms, named_rate, now - max(age, 0.0), leaving)
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -50,6 +50,7 @@
             requests=_parse_request_count(find_header(head.headers, wire.REPLICA_LOAD)),
             cold_seconds=_parse_cold_seconds(head),
             limit=_parse_limit(head),
+            leaving=_parse_leaving(head),
         )
 
     def read_health(self, head: ResponseHead) -> ReplicaHealth:
@@ -58,6 +59,7 @@
             healthy=head.status == 200,
             cold_seconds=_parse_cold_seconds(head),
             limit=_parse_limit(head),
+            leaving=_parse_leaving(head),
         )
 
 
@@ -81,6 +83,14 @@
     return NamedLimit(float(text))
 
 
+def _parse_leaving(head: ResponseHead) -> bool | None:
+    """Return whether an answer says that its replica leaves, None if malformed."""
+    values = {value.strip() for name, value in head.headers if name == wire.LEAVING}
+    if not values:
+        return False
+    return True if values == {b"1"} else None
+
+
 def _parse_request_count(text: str) -> int | None:
     """Return the number of running and queued requests, None if malformed."""
     words = [word.strip() for word in text.split(",")]
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -21,6 +21,8 @@
 COLD_MS = b"x-sassafraskeel-cold-ms"
 # The requests per second that a replica takes from all hosts together.
 REQUEST_LIMIT = b"server-limit"
+# 1 while the replica leaves.
+LEAVING = b"server-leaving"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
 # How often the store was restored from a copy; it is in all answers of the store.
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -483,7 +483,8 @@
         self.loads.retain(names)
         self.prompt_caches.retain(names)
         self._routing_state.health.retain(names)
-        self._routing_state.statements.retain(names)
+        listed = {name: self.fleet.get(name).started_at_ms for name in names}
+        self._routing_state.statements.retain(listed)
         await self._route_links.notify_change()
 
     async def _on_store_restored(self) -> None:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -40,7 +40,8 @@
     `executed` is False if the replica states that it did not run the call, and
     `misdirected` is True if the address now belongs to another replica. `requests`
     counts the requests that the replica runs and queues. `cold_seconds` are the
-    seconds for which the replica stays cold. `limit` is None if it is malformed.
+    seconds for which the replica stays cold. `limit` and `leaving`, whether the replica
+    leaves, are None if they are malformed.
     """
 
     head: ResponseHead
@@ -49,6 +50,7 @@
     requests: int | None
     cold_seconds: float
     limit: NamedLimit | None
+    leaving: bool | None
 
 
 class ReplicaHealth(NamedTuple):
@@ -58,6 +60,7 @@
     healthy: bool
     cold_seconds: float
     limit: NamedLimit | None
+    leaving: bool | None
 
 
 class ReplicaInterface(Protocol):
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -69,7 +69,7 @@
         """Guards against a limit that outlives the run of the replica that named it."""
         self.limits.answered(replica(), NamedLimit(2.0), 10.0, 10.1)
         self.assertIsNone(self.limits.rate(replica(started_at_ms=2)))
-        self.limits.retain({"r-1"})
+        self.limits.retain({"r-1": 1})
         self.assertIsNone(self.limits.rate(replica()))
 
     def test_relayed_again(self):
