Send a replica nothing for as long as its refusals ask for

The header was not read: a replica that refused was asked again by the next call, and while it was the only one its callers waited a second for a refusal that told them a time of the host's own.

The table of statements holds until when a run of a replica wants nothing from the local host, 60 s at most (MAX_PAUSE_SECONDS). It is obeyed as a leaving is: in the cached lists of replicas, in requests to the coordinator, and right before the first byte; the prober asks too. While all replicas of a service in the region are paused, a call goes to another region or is refused at once with the time that is left. Values that are no decimal number, and two that differ, are logged and ignored. Events 326 and 327; 314 and 325 name the cause.

--- a/sassafraskeel/calls/replica_states.py
+++ b/sassafraskeel/calls/replica_states.py
@@ -25,6 +25,7 @@
         state, now = self._routing_state, self._clock.monotonic()
         self._record_limit(replica, head.limit, sent_at, now)
         self._record_leaving(replica, head.leaving, sent_at)
+        self._record_pause(replica, head.pause_seconds, now)
         if head.requests is not None:
             state.loads.reported(replica.name, head.requests, now)
         if head.cold_seconds:
@@ -43,6 +44,10 @@
     def on_call_finished(self, replica: Replica) -> None:
         self._routing_state.silence_detector.call_finished(replica.name)
 
+    def may_probe(self, replica: Replica) -> bool:
+        now = self._clock.monotonic()
+        return not self._routing_state.statements.cause(replica, now)
+
     def on_probe_sent(self, replica: Replica) -> None:
         state, now = self._routing_state, self._clock.monotonic()
         state.statements.sent(replica, state.rate_share(replica.name, now), now)
@@ -50,8 +55,19 @@
     def on_probe_answered(
         self, replica: Replica, health: ReplicaHealth, sent_at: float
     ) -> None:
-        self._record_limit(replica, health.limit, sent_at, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._record_limit(replica, health.limit, sent_at, now)
         self._record_leaving(replica, health.leaving, sent_at)
+        self._record_pause(replica, health.pause_seconds, now)
+
+    def _record_pause(
+        self, replica: Replica, seconds: float | None, now: float
+    ) -> None:
+        if seconds is None:
+            self._log.emit(Event.PAUSE_MALFORMED, replica=replica.name)
+        elif self._routing_state.statements.heard_pause(replica, seconds, now):
+            left = self._routing_state.statements.pause_left(replica, now)
+            self._log.emit(Event.REPLICA_PAUSED, replica=replica.name, seconds=left)
 
     def _record_leaving(
         self, replica: Replica, leaving: bool | None, sent_at: float
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -279,9 +279,10 @@
                 raise not_run_refusal(
                     Reason.NO_UPSTREAM, f"{replica.name} takes no new work"
                 )
-            if self._routing_state.statements.is_leaving(replica):
+            cause = self._routing_state.statements.cause(replica, now)
+            if cause:
                 # It may have said so after the slot was taken or granted.
-                raise not_run_refusal(Reason.OVERLOADED, f"{replica.name} is leaving")
+                raise not_run_refusal(Reason.OVERLOADED, f"{replica.name} is {cause}")
             if target.grant is not None and now >= target.grant.expires:
                 raise not_run_refusal(
                     Reason.OVERLOADED, f"the grant of {replica.name} has lapsed"
@@ -413,7 +414,7 @@
             requests=target.requests,
             limit=target.upstream
             and self._routing_state.statements.rate(target.upstream),
-            passed_over=self._routing_state.passed_over(call.service),
+            passed_over=self._routing_state.passed_over(call.service, now),
             coordinator=target.grant.coordinator if target.grant else "",
             store_age_ms=self._routing_state.hosts.store_age_ms(now),
             left_ms=round((call.expires - now) * 1000),
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -93,23 +93,25 @@
 
     def accepts_work(self, replica: Replica, now: float) -> bool:
         """Return whether a replica takes new work by its entry and by its answers."""
-        return self.fleet.accepts_work(replica, now) and not self.statements.is_leaving(
-            replica
-        )
+        accepts = self.fleet.accepts_work(replica, now)
+        return accepts and not self.statements.cause(replica, now)
 
-    def leaving(self) -> list[Replica]:
-        """Return the listed replicas that have said that they leave."""
+    def refusing(self, now: float) -> list[Replica]:
+        """Return the listed replicas that get no new work for what they said."""
         return [
             replica
-            for name, started_at_ms in self.statements.leaving()
+            for name, started_at_ms in self.statements.refusing(now)
             if (replica := self.fleet.get(name)) is not None
             and replica.started_at_ms == started_at_ms
         ]
 
-    def passed_over(self, service: str) -> list[str]:
+    def passed_over(self, service: str, now: float) -> list[str]:
         """Return some listed replicas of a service that get no new calls, and why."""
-        names = [r.name for r in self.leaving() if r.service == service]
-        return [f"{name} leaving" for name in names[:MAX_PASSED_OVER]]
+        replicas = [r for r in self.refusing(now) if r.service == service]
+        return [
+            f"{replica.name} {self.statements.cause(replica, now)}"
+            for replica in replicas[:MAX_PASSED_OVER]
+        ]
 
 
 class RouteOptions:
@@ -187,6 +189,26 @@
             for replica in self._replicas_by_region(call.service, now).get(region, ())
         )
 
+    def pause_left(self, call: Call, now: float) -> float:
+        """Return the seconds until the first replica of the local region is usable.
+
+        Returns 0 unless all those that take work by their entries are paused.
+        """
+        state, region = self._routing_state, self._local_region()
+        if not _allows_region(call, region) or self._replicas_by_region(
+            call.service, now
+        ).get(region):
+            return 0.0
+        pauses = [
+            state.statements.pause_left(replica, now)
+            for replica in state.refusing(now)
+            if replica.service == call.service
+            and state.fleet.region_of(replica.zone) == region
+            and state.fleet.accepts_work(replica, now)
+            and not state.statements.is_leaving(replica)
+        ]
+        return min(pauses, default=0.0)
+
     def predicted_wait(self, call: Call, ahead: float, now: float) -> float:
         """Return the seconds until a call with `ahead` calls before it gets a slot."""
         state = self._routing_state
@@ -401,7 +423,7 @@
             if len(self._replica_cache) >= MAX_CACHED_SERVICES:
                 self._replica_cache.clear()
             regions = {
-                region: [r for r in replicas if not state.statements.is_leaving(r)]
+                region: [r for r in replicas if not state.statements.cause(r, now)]
                 for region, replicas in state.fleet.by_region(service, now).items()
             }
             cached = self._replica_cache[service] = _CachedReplicas(
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -109,6 +109,10 @@
                 if target is not None:
                     return target
                 continue
+            pause = self.options.pause_left(call, now)
+            if pause:
+                detail = f"all replicas of {call.service} want no requests"
+                raise not_run_refusal(Reason.NO_UPSTREAM, detail, pause)
             if now >= min(give_up_at, expires):
                 detail = f"no replica of {call.service} can be used"
                 raise not_run_refusal(
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -86,6 +86,10 @@
         324, Level.WARNING, "leaving header of a replica is malformed"
     )
     GRANT_UNUSED = EventSpec(325, Level.INFO, "granted replica was passed over")
+    REPLICA_PAUSED = EventSpec(326, Level.INFO, "replica wants no requests for a while")
+    PAUSE_MALFORMED = EventSpec(
+        327, Level.WARNING, "Retry-After of a replica is malformed"
+    )
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
--- a/sassafraskeel/decisions/replica_statements.py
+++ b/sassafraskeel/decisions/replica_statements.py
@@ -1,4 +1,4 @@
-"""What replicas say of themselves in their answers: limits and that they leave."""
+"""What replicas say of themselves in their answers: limits, leaving and pauses."""
 
 from typing import NamedTuple
 
@@ -21,6 +21,9 @@
 # entry may come back when the store does. Replicas that leave serve for their drain
 # time and, as the platform has it, at times many seconds more.
 LEAVING_TTL_SECONDS = 60.0
+# A pause for which a replica asks holds for this long at most, so that a wrong value
+# does not take the replica out of use for ever. Replicas ask for some seconds.
+MAX_PAUSE_SECONDS = 60.0
 
 
 class NamedLimit(NamedTuple):
@@ -66,16 +69,18 @@
 
     A limit holds until the answer to a later request names none, or until the replica
     starts anew. A replica that leaves does so until it starts anew. Only runs that
-    named a limit or leave are kept, at most MAX_NAMES of them. Arguments called `share`
-    are the share of a limit that the local host may use.
+    named a limit or leave are kept, at most MAX_NAMES of them. A pause holds for the
+    local host alone, and as many of them are kept. Arguments called `share` are the
+    share of a limit that the local host may use.
     """
 
     def __init__(self):
         self._statements: dict[_Run, Statement] = {}
         self._allowances: dict[_Run, _Allowance] = {}
         self._leaving: set[_Run] = set()
+        self._paused_until: dict[_Run, float] = {}
         self._listed: dict[str, int] = {}
-        # Incremented when the set of replicas that leave changes.
+        # Incremented when the set of replicas that leave or are paused may change.
         self.changes = 0
 
     def is_empty(self) -> bool:
@@ -86,9 +91,39 @@
         """Return whether a run of a replica has said that it leaves."""
         return bool(self._leaving) and _run(replica) in self._leaving
 
-    def leaving(self) -> list[tuple[str, int]]:
-        """Return the name and the start of each run that has said that it leaves."""
-        return list(self._leaving)
+    def pause_left(self, replica: Replica, now: float) -> float:
+        """Return the seconds for which a replica wants nothing from the local host."""
+        if not self._paused_until:
+            return 0.0
+        return max(self._paused_until.get(_run(replica), now) - now, 0.0)
+
+    def cause(self, replica: Replica, now: float) -> str:
+        """Return why a replica gets no new work, "" if it may."""
+        if self.is_leaving(replica):
+            return "leaving"
+        return "paused" if self.pause_left(replica, now) else ""
+
+    def refusing(self, now: float) -> list[tuple[str, int]]:
+        """Return the name and the start of each run that gets no new work."""
+        if self._paused_until:
+            self._drop_pauses(now)
+        return list(self._leaving.union(self._paused_until))
+
+    def heard_pause(self, replica: Replica, seconds: float, now: float) -> bool:
+        """Record that a replica wants no requests for a while.
+
+        Returns whether a pause begins; one that holds is only extended.
+        """
+        until = now + min(seconds, MAX_PAUSE_SECONDS)
+        left = self.pause_left(replica, now)
+        if until <= now + left:
+            return False
+        self._drop_pauses(now)
+        if len(self._paused_until) >= MAX_NAMES:
+            del self._paused_until[next(iter(self._paused_until))]
+        self._paused_until[_run(replica)] = until
+        self.changes += 1
+        return not left
 
     def heard_leaving(self, replica: Replica, sent_at: float) -> bool:
         """Record that a replica said that it leaves; return whether that is new.
@@ -187,6 +222,12 @@
             if not statement.leaving and not self._is_listed(run):
                 self._drop(run)
 
+    def _drop_pauses(self, now: float) -> None:
+        """Forget the pauses that are over."""
+        for run in [run for run, until in self._paused_until.items() if now >= until]:
+            del self._paused_until[run]
+            self.changes += 1
+
     def _is_listed(self, run: _Run) -> bool:
         return self._listed.get(run.name) == run.started_at_ms
 
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -42,6 +42,8 @@
     head, and it is back after `restart_seconds`. Unless `limit` is empty, answers and
     health checks name it as the requests per second that the replica takes. Unless
     `leaving` is empty, they have it as the value that says whether the replica leaves.
+    Unless `retry_after` is empty, refusals have it as their Retry-After, and health
+    checks are refused too while `refuse` is not 0.
     `name` is the instance id of the replica; requests that expect another instance are
     answered with 421.
     """
@@ -69,6 +71,7 @@
         self.sequence = 0
         self.limit = ""
         self.leaving = ""
+        self.retry_after = ""
         self.arrivals = 0
         self.arrival_times: list[float] = []
         self.probes = 0
@@ -132,6 +135,9 @@
             if self.cold_ms:
                 cold = str(self.cold_ms).encode()
                 headers.append((b"x-sassafraskeel-cold-ms", cold))
+            if self.refuse and self.retry_after:
+                headers.append((b"retry-after", self.retry_after.encode()))
+                return Reply(503, b"{}", (*headers, *self._state_headers()))
             return Reply(200, b"{}", (*headers, *self._state_headers()))
         self.arrivals += 1
         self.arrival_times.append(self._clock.monotonic())
@@ -143,6 +149,8 @@
         if self.refuse:
             self.refuse -= 1
             rejection = (echo, (b"x-sassafraskeel-not-executed", b"1"))
+            if self.retry_after:
+                rejection += ((b"retry-after", self.retry_after.encode()),)
             return json_reply({}, 503, (*rejection, *self._state_headers()))
         return await self._execute(request, request_id, echo)
 
--- a/sassafraskeel/gateways/placement.py
+++ b/sassafraskeel/gateways/placement.py
@@ -75,7 +75,9 @@
     async def find_target(self, call: Call, history: AttemptHistory) -> Target:
         for _ in range(MAX_UNUSABLE_GRANTS):
             link = self._coordinator_link()
-            if link is None:
+            now = self._clock.monotonic()
+            if link is None or self._local.options.pause_left(call, now):
+                # The coordinator does not know the pauses of the local host.
                 break
             try:
                 target = await self._request_target(link, call, history)
@@ -169,7 +171,7 @@
         excluded = [
             *self._state.health.unusable(now),
             *self._state.silence_detector.silent_names(now),
-            *(replica.name for replica in self._state.leaving()),
+            *(replica.name for replica in self._state.refusing(now)),
         ][:MAX_EXCLUDED]
         return PlacementRequest(
             number=number,
@@ -202,7 +204,7 @@
             # The coordinator may know the replica before the local host does.
             if not usable:
                 history.excluded.add(reply.replica)
-                self._log_unused(call, reply.replica)
+                self._log_unused(call, reply.replica, now)
             await self._notify(link, CallProgress(grant.number, "ended", NO_VALUE))
             return None
         target = Target(
@@ -220,13 +222,14 @@
         self._change_granted(target, Load(1, reply.prompt_tokens))
         return target
 
-    def _log_unused(self, call: Call, name: str) -> None:
-        leaving = any(replica.name == name for replica in self._state.leaving())
+    def _log_unused(self, call: Call, name: str, now: float) -> None:
+        replica = self._state.fleet.get(name)
+        cause = replica and self._state.statements.cause(replica, now)
         self._log.emit(
             Event.GRANT_UNUSED,
             call=call.call_id,
             to=name,
-            cause="leaving" if leaving else "unlisted",
+            cause=cause or "unlisted",
         )
 
     def _reported_requests(self, target: Target) -> float:
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -11,6 +11,7 @@
 from sassafraskeel.upstreams.replicas import ReplicaHead, ReplicaHealth
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 
@@ -51,6 +52,7 @@
             cold_seconds=_parse_cold_seconds(head),
             limit=_parse_limit(head),
             leaving=_parse_leaving(head),
+            pause_seconds=_parse_pause(head),
         )
 
     def read_health(self, head: ResponseHead) -> ReplicaHealth:
@@ -60,6 +62,7 @@
             cold_seconds=_parse_cold_seconds(head),
             limit=_parse_limit(head),
             leaving=_parse_leaving(head),
+            pause_seconds=_parse_pause(head),
         )
 
 
@@ -77,10 +80,24 @@
     values = {value for name, value in head.headers if name == wire.REQUEST_LIMIT}
     if not values:
         return NamedLimit(None)
-    text = values.pop().decode("latin-1").strip()
-    if values or not DECIMAL_NUMBER.fullmatch(text):
+    rate = _parse_decimal(values)
+    return None if rate is None else NamedLimit(rate)
+
+
+def _parse_pause(head: ResponseHead) -> float | None:
+    """Return for how many seconds a replica wants no requests, None if malformed."""
+    values = {value for name, value in head.headers if name == wire.RETRY_AFTER}
+    if head.status != UNAVAILABLE_STATUS or not values:
+        return 0.0
+    return _parse_decimal(values)
+
+
+def _parse_decimal(values: set[bytes]) -> float | None:
+    """Return the number in headers of one name, None if malformed or if they differ."""
+    text = next(iter(values)).decode("latin-1").strip()
+    if len(values) > 1 or not DECIMAL_NUMBER.fullmatch(text):
         return None
-    return NamedLimit(float(text))
+    return float(text)
 
 
 def _parse_leaving(head: ResponseHead) -> bool | None:
--- a/sassafraskeel/upstreams/cold_start_probes.py
+++ b/sassafraskeel/upstreams/cold_start_probes.py
@@ -23,6 +23,9 @@
 class ProbeObserver(Protocol):
     """Counts probes, which replicas take like other requests, and reads the answers."""
 
+    def may_probe(self, replica: Replica) -> bool:
+        """Return whether a replica takes requests of the local host at present."""
+
     def on_probe_sent(self, replica: Replica) -> None:
         """Count a probe."""
 
@@ -75,6 +78,8 @@
             }
             self._probed &= suspected.keys()
             for name in suspected.keys() - self._probed:
+                if not self._observer.may_probe(suspected[name]):
+                    continue
                 self._probed.add(name)
                 await group.spawn(self._probe, suspected[name])
             await self._clock.sleep(SCAN_SECONDS)
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -40,8 +40,9 @@
     `executed` is False if the replica states that it did not run the call, and
     `misdirected` is True if the address now belongs to another replica. `requests`
     counts the requests that the replica runs and queues. `cold_seconds` are the
-    seconds for which the replica stays cold. `limit` and `leaving`, whether the replica
-    leaves, are None if they are malformed.
+    seconds for which the replica stays cold. `limit`, `leaving`, whether the replica
+    leaves, and `pause_seconds`, the seconds for which it wants no requests of the local
+    host, are None if they are malformed.
     """
 
     head: ResponseHead
@@ -51,6 +52,7 @@
     cold_seconds: float
     limit: NamedLimit | None
     leaving: bool | None
+    pause_seconds: float | None
 
 
 class ReplicaHealth(NamedTuple):
@@ -61,6 +63,7 @@
     cold_seconds: float
     limit: NamedLimit | None
     leaving: bool | None
+    pause_seconds: float | None
 
 
 class ReplicaInterface(Protocol):
