--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -13,8 +13,8 @@
 from bench.processes import processor_seconds, resident_bytes
 from sassafraskeel.calls.attempts import AttemptHistory
 from sassafraskeel.calls.crash_guard import CrashGuard, FeatureHasher
-from sassafraskeel.calls.route_options import RoutingState
 from sassafraskeel.calls.route_placement import RoutePlacement
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
--- a/sassafraskeel/calls/replica_states.py
+++ b/sassafraskeel/calls/replica_states.py
@@ -1,6 +1,6 @@
 """Records what replicas report about themselves and how their answers progress."""
 
-from sassafraskeel.calls.route_options import RoutingState
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -9,12 +9,8 @@
 from sassafraskeel.calls.event_streams import EventStream, is_event_stream
 from sassafraskeel.calls.placement import PlacedAttempt, Placement, attempt_failure
 from sassafraskeel.calls.request_tracker import draining_refusal
-from sassafraskeel.calls.route_options import (
-    RoutingState,
-    expected_end,
-    latest_end,
-    state_stay,
-)
+from sassafraskeel.calls.route_options import expected_end, latest_end, state_stay
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.calls.stream_resumer import FINAL_REASONS, StreamResumer
 from sassafraskeel.calls.stream_start import StartReporter
 from sassafraskeel.core.clock import Clock
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -1,19 +1,14 @@
 """The replicas and regions that a call of a route may use at present."""
 
 import math
-from collections.abc import Callable
 from typing import NamedTuple
 
 from sassafraskeel.calls.attempts import AttemptHistory
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.types import Call, CallKind, HostInfo
-from sassafraskeel.decisions.call_costs import CallCosts, call_cost
+from sassafraskeel.decisions.call_costs import call_cost
 from sassafraskeel.decisions.estimates import ServiceTimes
-from sassafraskeel.decisions.fleet import Fleet, Replica
-from sassafraskeel.decisions.forwards import RecentForwards
-from sassafraskeel.decisions.health import Health
-from sassafraskeel.decisions.hosts import HostTable
-from sassafraskeel.decisions.loads import ReplicaLoads
-from sassafraskeel.decisions.pacing import ColdPacer
+from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.decisions.placement import (
     CROSS_REGION_SECONDS,
     CROSS_ZONE_SECONDS,
@@ -24,17 +19,13 @@
     prefill_seconds,
     slot_limit,
 )
-from sassafraskeel.decisions.prompt_caches import PromptCaches, preferred_replica
-from sassafraskeel.decisions.region_loads import RegionLoads, ServiceLoad
-from sassafraskeel.decisions.replica_statements import ReplicaStatements
-from sassafraskeel.decisions.silence import SilenceDetector
+from sassafraskeel.decisions.prompt_caches import preferred_replica
+from sassafraskeel.decisions.region_loads import ServiceLoad
 
 # The cache expires because replicas with lapsed entries leave the fleet as time passes,
 # which does not increment `Fleet.changes`.
 REPLICA_CACHE_SECONDS = 0.2
 MAX_CACHED_SERVICES = 256
-# Replicas passed over that the log names for a call.
-MAX_PASSED_OVER = 4
 # A stream that no host can resume for the rest of its time goes to one that stays for
 # this multiple of the expected time. With a log-normal spread of 0.7, as deployments
 # state it, less than 5 in 100 whole streams take longer.
@@ -67,53 +58,6 @@
     busy: float
 
 
-class RoutingState(NamedTuple):
-    """State of replicas and hosts on which placement is based, partly estimated.
-
-    `service_times` says how long calls hold a slot, and `route_times` how long those of
-    a route last, with those that were forwarded. `rate_share` returns the share of a
-    replica's rate that the local host may use while the replica is cold or names a
-    limit, 0 for none.
-    """
-
-    fleet: Fleet
-    hosts: HostTable
-    loads: ReplicaLoads
-    prompt_caches: PromptCaches
-    health: Health
-    pacer: ColdPacer
-    service_times: ServiceTimes
-    route_times: ServiceTimes
-    forwards: RecentForwards
-    silence_detector: SilenceDetector
-    region_loads: RegionLoads
-    rate_share: Callable[[str, float], float]
-    statements: ReplicaStatements
-    call_costs: CallCosts
-
-    def accepts_work(self, replica: Replica, now: float) -> bool:
-        """Return whether a replica takes new work by its entry and by its answers."""
-        accepts = self.fleet.accepts_work(replica, now)
-        return accepts and not self.statements.cause(replica, now)
-
-    def refusing(self, now: float) -> list[Replica]:
-        """Return the listed replicas that get no new work for what they said."""
-        return [
-            replica
-            for name, started_at_ms in self.statements.refusing(now)
-            if (replica := self.fleet.get(name)) is not None
-            and replica.started_at_ms == started_at_ms
-        ]
-
-    def passed_over(self, service: str, now: float) -> list[str]:
-        """Return some listed replicas of a service that get no new calls, and why."""
-        replicas = [r for r in self.refusing(now) if r.service == service]
-        return [
-            f"{replica.name} {self.statements.cause(replica, now)}"
-            for replica in replicas[:MAX_PASSED_OVER]
-        ]
-
-
 class RouteOptions:
     """Lists the usable replicas of the local region and the usable other regions."""
 
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -6,7 +6,8 @@
 from sassafraskeel.calls.attempts import AttemptHistory, Target
 from sassafraskeel.calls.crash_guard import CrashGuard
 from sassafraskeel.calls.placement import AttemptFailure
-from sassafraskeel.calls.route_options import RegionOption, RouteOptions, RoutingState
+from sassafraskeel.calls.route_options import RegionOption, RouteOptions
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.calls.slot_queues import SlotQueues, SlotRequest
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run_refusal
--- /dev/null
+++ b/sassafraskeel/calls/routing_state.py
@@ -0,0 +1,67 @@
+"""The state of replicas and hosts on which the placement of calls is based."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from sassafraskeel.decisions.call_costs import CallCosts
+from sassafraskeel.decisions.estimates import ServiceTimes
+from sassafraskeel.decisions.fleet import Fleet, Replica
+from sassafraskeel.decisions.forwards import RecentForwards
+from sassafraskeel.decisions.health import Health
+from sassafraskeel.decisions.hosts import HostTable
+from sassafraskeel.decisions.loads import ReplicaLoads
+from sassafraskeel.decisions.pacing import ColdPacer
+from sassafraskeel.decisions.prompt_caches import PromptCaches
+from sassafraskeel.decisions.region_loads import RegionLoads
+from sassafraskeel.decisions.replica_statements import ReplicaStatements
+from sassafraskeel.decisions.silence import SilenceDetector
+
+# Replicas passed over that the log names for a call.
+MAX_PASSED_OVER = 4
+
+
+class RoutingState(NamedTuple):
+    """State of replicas and hosts on which placement is based, partly estimated.
+
+    `service_times` says how long calls hold a slot, and `route_times` how long those of
+    a route last, with those that were forwarded. `rate_share` returns the share of a
+    replica's rate that the local host may use while the replica is cold or names a
+    limit, 0 for none.
+    """
+
+    fleet: Fleet
+    hosts: HostTable
+    loads: ReplicaLoads
+    prompt_caches: PromptCaches
+    health: Health
+    pacer: ColdPacer
+    service_times: ServiceTimes
+    route_times: ServiceTimes
+    forwards: RecentForwards
+    silence_detector: SilenceDetector
+    region_loads: RegionLoads
+    rate_share: Callable[[str, float], float]
+    statements: ReplicaStatements
+    call_costs: CallCosts
+
+    def accepts_work(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica takes new work by its entry and by its answers."""
+        accepts = self.fleet.accepts_work(replica, now)
+        return accepts and not self.statements.cause(replica, now)
+
+    def refusing(self, now: float) -> list[Replica]:
+        """Return the listed replicas that get no new work for what they said."""
+        return [
+            replica
+            for name, started_at_ms in self.statements.refusing(now)
+            if (replica := self.fleet.get(name)) is not None
+            and replica.started_at_ms == started_at_ms
+        ]
+
+    def passed_over(self, service: str, now: float) -> list[str]:
+        """Return some listed replicas of a service that get no new calls, and why."""
+        replicas = [r for r in self.refusing(now) if r.service == service]
+        return [
+            f"{replica.name} {self.statements.cause(replica, now)}"
+            for replica in replicas[:MAX_PASSED_OVER]
+        ]
--- a/sassafraskeel/gateways/placement.py
+++ b/sassafraskeel/gateways/placement.py
@@ -4,8 +4,8 @@
 
 from sassafraskeel.calls.attempts import AttemptHistory, Grant, Target
 from sassafraskeel.calls.placement import AttemptFailure
-from sassafraskeel.calls.route_options import RoutingState
 from sassafraskeel.calls.route_placement import RoutePlacement
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
--- a/sassafraskeel/gateways/placement_server.py
+++ b/sassafraskeel/gateways/placement_server.py
@@ -6,8 +6,8 @@
 
 from sassafraskeel.calls.attempts import AttemptHistory, Target
 from sassafraskeel.calls.placement import AttemptFailure
-from sassafraskeel.calls.route_options import RoutingState
 from sassafraskeel.calls.route_placement import RoutePlacement
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ProtocolError,
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -11,8 +11,8 @@
 from sassafraskeel.calls.replica_states import ReplicaStates
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.calls.route_calls import RouteCalls, RouteSenders
-from sassafraskeel.calls.route_options import RoutingState
 from sassafraskeel.calls.route_placement import RoutePlacement
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import TimedOut
 from sassafraskeel.core.events import Event
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -8,8 +8,8 @@
 
 from sassafraskeel.calls.attempts import AttemptHistory
 from sassafraskeel.calls.crash_guard import CrashGuard, FeatureHasher
-from sassafraskeel.calls.route_options import RoutingState
 from sassafraskeel.calls.route_placement import RoutePlacement
+from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.core.errors import Refusal
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
