Name the recording of a run by what it does

AttemptHistory.may_have_run read like a question. No change of behaviour; tests.test_resumed_streams, tests.test_resumed_streams_review and tests.test_route_host pass.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -56,8 +56,8 @@
     and `delivered_attempts` those that may have reached an upstream. `target` names the
     target of the latest attempt. `round_attempts` counts the attempts since the call
     began or was last resumed, and `rounds` how often it was tried to resume the call.
-    `charged_at` is when the latest attempt was charged to
-    a retry budget, in monotonic seconds, None if it was not.
+    `charged_at` is when the latest attempt was charged to a retry budget, in monotonic
+    seconds, None if it was not.
     """
 
     def __init__(self):
@@ -84,7 +84,7 @@
         self.round_attempts = 0
         self.rounds += 1
 
-    def may_have_run(self, target: Target) -> None:
+    def record_run(self, target: Target) -> None:
         """Record that the target of the latest attempt may have run the call."""
         self.runs[self.attempts] = target
 
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -233,7 +233,7 @@
         started = self._clock.monotonic()
         answer = await self._senders.hosts.send(target.host, forwarded, body)
         history.delivered_attempts += 1
-        history.may_have_run(target)
+        history.record_run(target)
 
         async def release(is_complete: bool) -> None:
             if is_complete:
@@ -292,7 +292,7 @@
         self, target, attempt: PlacedAttempt, call, body, answer, history, started
     ) -> Answer:
         history.delivered_attempts += 1
-        history.may_have_run(target)
+        history.record_run(target)
 
         async def release(is_complete: bool) -> None:
             seconds = self._clock.monotonic() - started
@@ -384,7 +384,7 @@
             # a host may be offered in vain many times.
             self._budget.cancel_retry(call.service, history.charged_at)
         if refusal.outcome is Outcome.UNKNOWN:
-            history.may_have_run(target)
+            history.record_run(target)
         if target.upstream is None:
             if refusal.reason is Reason.PEER_UNREACHABLE:
                 now = self._clock.monotonic()
--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -382,10 +382,10 @@
     """Return a call that states how long a host to which it is forwarded must stay.
 
     A call that may run once more continues elsewhere after a cut, so that its expected
-    time counts. Any other call may last until its deadline. While the local host is
-    being stopped as well, it may have no time left to continue a call. A stream that
-    was tried to resume in vain is better sent to a host that stays long enough for
-    almost all streams than left until its caller gives up.
+    time counts. Any other call may last until its deadline, and so may each call while
+    the local host is being stopped, because it may have no time left to continue one.
+    After a first attempt to resume it failed, a stream goes to a host that stays long
+    enough for almost all streams; otherwise its caller would give up.
     """
     hosts, policy = routing_state.hosts, call.route_policy
     closes_at = hosts.closes_at(hosts.local_host)
