--- a/review/deadly_prompts.py
+++ b/review/deadly_prompts.py
@@ -6,7 +6,7 @@
 import time
 
 from manifests import LIMITS
-from standins import STAMP, Client, Deployment, Host, Replica, call_headers
+from standins import LOOPBACK, STAMP, Client, Deployment, Host, Replica, call_headers
 
 HOST_NAME = "growers.example"
 ASK_PATH = "/summary/"
@@ -151,7 +151,7 @@
         headers["X-Sassafraskeel-Prompt-Prefix"] = prompt
         body = f"summary {request_id}".encode()
         sent_at = time.monotonic()
-        client = Client("127.0.0.1", host.ports["front"])
+        client = Client(LOOPBACK, host.ports["front"])
         try:
             answer = await client.call("POST", ASK_PATH + "q", headers, body, 6.0)
             status, detail = answer.status, answer.body.decode()[:120]
