Read the keys of the store when the changes since are too long

Cause: the answer of the watch is over 4 MiB, is refused, and counts as an outage. The follower asks for the same changes, and the further ones, until the store drops its history.

Such an answer now raises HistoryLost, so that the follower reads the keys, whose pages the store bounds.

test_many_large_manifests fails before: a route that was added in the outage is answered with 404, and it passes now. test_store asked for PlatformUnavailable from a watch with an endless answer; it now asks for HistoryLost there and for PlatformUnavailable from read_all, with the same bound on bytes for each of the two.

--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -105,6 +105,10 @@
     """The other end violated the protocol of the connection."""
 
 
+class AnswerTooLong(ProtocolError):
+    """An answer has more bytes than the local end takes."""
+
+
 class AnswerTruncated(SassafraskeelError):
     """An answer ended before its end marker."""
 
--- a/sassafraskeel/platform/store_client.py
+++ b/sassafraskeel/platform/store_client.py
@@ -9,6 +9,7 @@
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
+    AnswerTooLong,
     CompareFailed,
     HistoryLost,
     LeaseLost,
@@ -92,6 +93,12 @@
             if exc.status == 410:
                 raise HistoryLost(*after) from exc
             raise
+        except PlatformUnavailable as exc:
+            if isinstance(exc.__cause__, AnswerTooLong):
+                # Asked again, the store would send the same changes and more. The pages
+                # of its keys are bounded.
+                raise HistoryLost(*after) from exc
+            raise
         if answer.era != after.era:
             raise HistoryLost(*after)
         return ChangeBatch(answer.changes("events"), answer.revision("asOf"))
@@ -195,7 +202,7 @@
                 chunks.append(chunk)
                 size += len(chunk)
                 if size > MAX_ANSWER_BYTES:
-                    raise ProtocolError("the answer of the store is too long")
+                    raise AnswerTooLong("the answer of the store is too long")
             complete = True
         finally:
             if (
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -55,8 +55,8 @@
     async def watch(self, after: StoreRevision, seconds: float) -> ChangeBatch:
         """Return the changes after a revision, waiting at most `seconds` for the first.
 
-        Raises HistoryLost if the store no longer has the changes after `after`, or was
-        restored since.
+        Raises HistoryLost if the store no longer has the changes after `after`, was
+        restored since, or has more of them than an answer may hold.
         """
 
     async def put(
--- a/tests/test_route_faults.py
+++ b/tests/test_route_faults.py
@@ -8,6 +8,7 @@
 
 from sassafraskeel.core.errors import (
     ConnectionLost,
+    HistoryLost,
     MalformedDocument,
     PlatformUnavailable,
     SassafraskeelError,
@@ -24,7 +25,7 @@
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
 from tests.support.raw_server import RawServer, answer_head
-from tests.support.routes import manifest, with_routes
+from tests.support.routes import ROUTES, manifest, with_routes
 from tests.test_route_host import drain_stream, events
 
 KIB = 1024
@@ -158,12 +159,43 @@
             await server.start()
             client = StoreClient(server.address, clock, network.for_node("host"))
             with self.assertRaises(PlatformUnavailable):
+                await client.read_all()
+            self.assertLess(server.written, 2 * MAX_ANSWER_BYTES)
+            server.written = 0
+            with self.assertRaises(HistoryLost):
                 await client.watch(StoreRevision(1, 1), 30.0)
             self.assertLess(server.written, 2 * MAX_ANSWER_BYTES)
             await server.close()
 
         run_virtual(main)
 
+    @with_routes
+    async def test_many_large_manifests(self, world):
+        """Guards against a host that follows no more after it missed large manifests.
+
+        The changes that it missed are longer than an answer of the store may be.
+        """
+        world.store.error_status = 503
+        added = tuple(
+            {"name": f"added-{n}", "pathPrefix": f"/added/{n}/", "kind": "safe"}
+            for n in range(1200)
+        )
+        documents = [manifest(version, (*ROUTES, *added)) for version in range(2, 42)]
+        self.assertGreater(sum(map(len, documents)), MAX_ANSWER_BYTES)
+        for document in documents:
+            await world.store.write("op/config", document)
+        await world.clock.sleep(3)
+        world.store.error_status = 0
+        await world.clock.sleep(2)
+        leaving = world.replicas[0]
+        await world.register_replica(leaving, state="draining")
+        await world.clock.sleep(2)
+        before = leaving.arrivals
+        for number in range(20):
+            head, _ = await world.call("/added/7/1", call_id=f"c-{number}")
+            self.assertEqual(head.status, 200)
+        self.assertEqual(leaving.arrivals, before)
+
 
 class StreamProgressTest(TestCase):
     @with_routes
