Count a lost connection as a crash only if its replica has ended

Cause: any connection that ended before an answer counted as a crash of its replica. Resets, closes and cut answers have other causes, and a request that is sent again meets them again.

A replica that crashes takes no new connections until it is back. So the host connects once after such a loss; the calls lost together share the check, and a connection that opens goes into the pool. If none opens, the loss counts as before; otherwise it is a failure of the replica alone.

test_equal_requests_after_resets got 503 four times of four before and 200 four times of four now.

--- a/sassafraskeel/calls/placement.py
+++ b/sassafraskeel/calls/placement.py
@@ -1,5 +1,6 @@
 """The interface through which calls of routes get their targets."""
 
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from typing import Protocol
 
@@ -13,6 +14,10 @@
     UpstreamLost,
 )
 from sassafraskeel.core.types import Call
+from sassafraskeel.decisions.fleet import Replica
+
+# Returns whether a replica with a lost connection has ended.
+HasEnded = Callable[[Replica], Awaitable[bool]]
 
 
 class AttemptFailure(StrEnum):
@@ -20,7 +25,7 @@
 
     # The replica broke off an answer, answered with garbage or went silent.
     FAILED = "failed"
-    # The replica ended the connection before it began to answer.
+    # The replica ended before it began to answer.
     LOST = "lost"
     # The replica accepted no connection, so it may come back cold.
     UNREACHABLE = "unreachable"
@@ -31,7 +36,8 @@
 def attempt_failure(refusal: Refusal, accepts_work: bool) -> AttemptFailure | None:
     """Return what a refusal says of its replica, None if it says nothing.
 
-    `accepts_work` says whether the replica may still get work.
+    `accepts_work` says whether the replica may still get work. LOST is only a lost
+    connection, until it is known that the replica has ended.
     """
     if refusal.reason in (Reason.UPSTREAM_FAILED, Reason.UPSTREAM_SILENT):
         is_unreachable = isinstance(refusal.__cause__, ConnectionLost | TimedOut)
@@ -80,10 +86,13 @@
 class PlacedAttempt:
     """The slot of one attempt, which is released once however the attempt ends."""
 
-    def __init__(self, placement: Placement, target: Target, call: Call):
+    def __init__(
+        self, placement: Placement, target: Target, call: Call, has_ended: HasEnded
+    ):
         self._placement = placement
         self._target = target
         self._call = call
+        self._has_ended = has_ended
         self._prefilled = False
         self._released = False
 
@@ -94,7 +103,13 @@
             await self._placement.head_received(self._target)
 
     async def failed(self, failure: AttemptFailure) -> None:
-        """Record that the replica failed the call."""
+        """Record that the replica failed the call.
+
+        With LOST, the connection was lost; the replica may go on.
+        """
+        is_lost = failure is AttemptFailure.LOST
+        if is_lost and not await self._has_ended(self._target.upstream):
+            failure = AttemptFailure.FAILED
         await self._placement.attempt_failed(self._target, failure)
 
     async def release(self, seconds: float | None = None) -> None:
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -72,6 +72,9 @@
         the deadline of the call.
         """
 
+    async def has_ended(self, replica: Replica) -> bool:
+        """Return whether a replica with a lost connection takes no new ones either."""
+
 
 class HostSender(Protocol):
     """Sends calls to hosts of other regions."""
@@ -203,7 +206,8 @@
         self, target: Target, call: Call, body: bytes, history: AttemptHistory
     ) -> Answer:
         self._log_attempt(call, target, history)
-        attempt = PlacedAttempt(self._placement, target, call)
+        has_ended = self._senders.replicas.has_ended
+        attempt = PlacedAttempt(self._placement, target, call, has_ended)
         try:
             if target.host is not None:
                 return await self._attempt_on_host(target, call, body, history)
@@ -211,6 +215,7 @@
         except BaseException as exc:
             if isinstance(exc, Refusal):
                 await self._record_refusal(target, call, exc, history)
+                await self._record_failure(target, attempt, exc)
                 self._log_failed_attempt(call, target, exc, history)
             await attempt.release()
             raise
@@ -385,16 +390,21 @@
             self._budget.cancel_retry(call.service, history.charged_at)
         if refusal.outcome is Outcome.UNKNOWN:
             history.record_run(target)
+        if target.host is not None and refusal.reason is Reason.PEER_UNREACHABLE:
+            now = self._clock.monotonic()
+            self._routing_state.hosts.mark_unreachable(target.host, now)
+
+    async def _record_failure(
+        self, target: Target, attempt: PlacedAttempt, refusal: Refusal
+    ) -> None:
+        """Record what a refusal says of the replica that was tried."""
         if target.upstream is None:
-            if refusal.reason is Reason.PEER_UNREACHABLE:
-                now = self._clock.monotonic()
-                self._routing_state.hosts.mark_unreachable(target.host, now)
             return
         now = self._clock.monotonic()
         accepts_work = self._routing_state.accepts_work(target.upstream, now)
         failure = attempt_failure(refusal, accepts_work)
         if failure is not None:
-            await self._placement.attempt_failed(target, failure)
+            await attempt.failed(failure)
 
     def _log_attempt(self, call: Call, target: Target, history: AttemptHistory) -> None:
         now = self._clock.monotonic()
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -87,6 +87,8 @@
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return False if none can be sent."""
         state = self._http.h11
+        if state.our_state is h11.IDLE:
+            return True  # No request was sent yet.
         if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
             return False
         if state.trailing_data[0]:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -24,6 +24,7 @@
 from sassafraskeel.core.types import Call, CallKind, Headers, ResponseHead
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.decisions.replica_statements import NamedLimit
+from sassafraskeel.upstreams.liveness import LivenessChecks
 from sassafraskeel.upstreams.pool import ConnectionPool
 
 # A call that must not run twice uses a pooled connection only if it was idle for less
@@ -189,6 +190,11 @@
         self._pool = pool
         self._interface = interface
         self._observer = observer
+        self._liveness = LivenessChecks(clock, pool)
+
+    async def has_ended(self, replica: Replica) -> bool:
+        """Return whether a replica with a lost connection takes no new ones either."""
+        return await self._liveness.has_ended(replica.address)
 
     async def send(
         self,
--- a/tests/test_route_crashes.py
+++ b/tests/test_route_crashes.py
@@ -13,6 +13,8 @@
     PromptPart,
     RoutePolicy,
 )
+from sassafraskeel.decisions.health import BACKOFF_MAX_SECONDS
+from sassafraskeel.emulators.faults import AnswerFault
 from tests.support.routes import with_routes
 
 DEADLY = "d00d"
@@ -224,6 +226,28 @@
             self.assertGreaterEqual(host.crashes.crash_count(deadly), count - 2)
 
 
+class LostConnectionTest(TestCase):
+    @with_routes(world_options=FLEET)
+    async def test_equal_requests_after_resets(self, world):
+        """Guards against sound requests refused because their connections were reset.
+
+        The replicas go on, so that the resets are no crashes.
+        """
+        for _ in range(6):
+            for replica in world.replicas:
+                replica.faults.answers = [AnswerFault(cut_after=0)] * 4
+            await world.call("/read/1")
+            await world.clock.sleep(1)
+        for replica in world.replicas:
+            replica.faults.answers = []
+        await world.clock.sleep(BACKOFF_MAX_SECONDS)
+        statuses = []
+        for number in range(4):
+            head, _ = await world.call("/read/1", host=number)
+            statuses.append(head.status)
+        self.assertEqual(statuses, [200] * 4)
+
+
 class CommonFailureTest(TestCase):
     @with_routes(world_options=FLEET)
     async def test_all_replicas_end_together(self, world):
--- a/tests/test_stop_ends.py
+++ b/tests/test_stop_ends.py
@@ -142,6 +142,8 @@
         senders = host.dispatcher._senders
 
         class ClosingSender:
+            has_ended = senders.replicas.has_ended
+
             async def send(self, replica, call, body, check, head_timeout):
                 since = world.clock.monotonic() - 7.5
                 host.hosts.mark_draining(host.membership.local_host, since)
