Take the blame off a call only when its replica survived it

Cause: the first whole event counted as proof that the replica survives the call. The end of the connection after it was no crash, and the event took the blame for all earlier crashes off all features of the call, the deadly part too. Plain answers that ended after their head were no evidence either.

A replica survives a call whose answer is whole, or a stream that has gone on for a second after its first event. Until then the end of the connection is a crash, if the replica has ended as well. The end of an answer without a length is told from a crash by the same check.

--- a/sassafraskeel/calls/answers.py
+++ b/sassafraskeel/calls/answers.py
@@ -3,9 +3,13 @@
 from http import HTTPStatus
 
 from sassafraskeel.core.errors import (
+    AnswerTruncated,
+    ConnectionLost,
+    Outcome,
     Reason,
     SassafraskeelError,
     TimedOut,
+    UpstreamLost,
     unknown_outcome_refusal,
 )
 from sassafraskeel.core.http_client import BODYLESS_STATUSES
@@ -62,6 +66,9 @@
         data = await read_to_end(answer, MAX_BUFFERED_ANSWER_BYTES)
     except TimedOut as exc:
         raise unknown_outcome_refusal(Reason.DEADLINE, f"{source}: {exc}") from exc
+    except (AnswerTruncated, ConnectionLost) as exc:
+        detail = f"{source}: {exc}"
+        raise UpstreamLost(Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, detail) from exc
     except SassafraskeelError as exc:
         raise unknown_outcome_refusal(
             Reason.UPSTREAM_FAILED, f"{source}: {exc}"
--- a/sassafraskeel/calls/crash_guard.py
+++ b/sassafraskeel/calls/crash_guard.py
@@ -82,8 +82,8 @@
             target = target._replace(trial=trial)
         return target
 
-    def answer_began(self, target: Target) -> None:
-        """Record that a replica began to answer a call."""
+    def call_survived(self, target: Target) -> None:
+        """Record that a replica survived a call."""
         self.attempt_ended(target)
         if target.features and not self._evidence.is_empty:
             now = self._clock.monotonic()
@@ -96,7 +96,7 @@
                 )
 
     def replica_lost(self, target: Target) -> None:
-        """Record that a replica ended before it began to answer a call."""
+        """Record that a replica ended, and may have crashed on a call."""
         self.attempt_ended(target)
         if not target.features:
             return
--- a/sassafraskeel/calls/placement.py
+++ b/sassafraskeel/calls/placement.py
@@ -16,6 +16,9 @@
 from sassafraskeel.core.types import Call
 from sassafraskeel.decisions.fleet import Replica
 
+# A replica that a call crashes ends soon after it begins to answer.
+SURVIVAL_SECONDS = 1.0
+
 # Returns whether a replica with a lost connection has ended.
 HasEnded = Callable[[Replica], Awaitable[bool]]
 
@@ -25,7 +28,7 @@
 
     # The replica broke off an answer, answered with garbage or went silent.
     FAILED = "failed"
-    # The replica ended before it began to answer.
+    # The replica ended while it was not known yet to survive the call.
     LOST = "lost"
     # The replica accepted no connection, so it may come back cold.
     UNREACHABLE = "unreachable"
@@ -70,6 +73,9 @@
         a replica that crashes may have sent a head and a part of an event.
         """
 
+    async def call_survived(self, target: Target) -> None:
+        """Record that a replica has gone on with a stream for SURVIVAL_SECONDS."""
+
     async def attempt_failed(self, target: Target, failure: AttemptFailure) -> None:
         """Record that a replica failed a call."""
 
@@ -79,7 +85,7 @@
         """Release the slot of a target.
 
         `prefilled` says whether `head_received` was called for it. `seconds` is the
-        time for which a complete call held the slot.
+        time for which a complete call, which its replica survived, held the slot.
         """
 
 
@@ -94,6 +100,8 @@
         self._call = call
         self._has_ended = has_ended
         self._prefilled = False
+        self._survived = False
+        self._lost = False
         self._released = False
 
     async def head_received(self) -> None:
@@ -102,20 +110,41 @@
             self._prefilled = True
             await self._placement.head_received(self._target)
 
+    async def survived(self) -> None:
+        """Record that the replica has survived the call."""
+        if not self._survived:
+            self._survived = True
+            await self._placement.call_survived(self._target)
+
     async def failed(self, failure: AttemptFailure) -> None:
-        """Record that the replica failed the call.
+        """Record that the replica failed the call before it began to answer.
 
         With LOST, the connection was lost; the replica may go on.
         """
-        is_lost = failure is AttemptFailure.LOST
-        if is_lost and not await self._has_ended(self._target.upstream):
-            failure = AttemptFailure.FAILED
-        await self._placement.attempt_failed(self._target, failure)
+        if failure is not AttemptFailure.LOST:
+            await self._placement.attempt_failed(self._target, failure)
+        elif not self._lost and not await self.connection_ended():
+            failed = AttemptFailure.FAILED
+            await self._placement.attempt_failed(self._target, failed)
+
+    async def connection_ended(self) -> bool:
+        """Return whether the replica ended with a connection, and record that it did.
+
+        It is no failure of the call if the replica survived the call before.
+        """
+        if self._survived or not await self._has_ended(self._target.upstream):
+            return False
+        if not self._lost:
+            self._lost = True
+            await self._placement.attempt_failed(self._target, AttemptFailure.LOST)
+        return True
 
     async def release(self, seconds: float | None = None) -> None:
         """Release the slot; `seconds` is how long a complete call held it."""
         if not self._released:
             self._released = True
+            if self._lost:
+                seconds = None
             await self._placement.release(
                 self._target, self._call, self._prefilled, seconds
             )
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -11,8 +11,8 @@
 from sassafraskeel.calls.request_tracker import draining_refusal
 from sassafraskeel.calls.route_options import expected_end, latest_end, state_stay
 from sassafraskeel.calls.routing_state import RoutingState
+from sassafraskeel.calls.stream_reports import StreamReporter
 from sassafraskeel.calls.stream_resumer import FINAL_REASONS, StreamResumer
-from sassafraskeel.calls.stream_start import StartReporter
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     Outcome,
@@ -303,6 +303,8 @@
             seconds = self._clock.monotonic() - started
             # The rest of a stream says nothing of how long whole ones last.
             is_whole = is_complete and not call.resume_after
+            if is_complete and not is_whole:
+                await attempt.survived()
             await attempt.release(seconds if is_whole else None)
             if is_complete:
                 self._record_route_time(call, answer, started)
@@ -310,6 +312,8 @@
         if not is_event_stream(answer.head) or answer.head.status >= 300:
             buffered = await buffer_answer(target.name, call, answer)
             await attempt.head_received()
+            if answer.is_close_delimited:
+                await attempt.connection_ended()
             await release(True)
             return buffered
         if call.route_policy.resumable:
@@ -324,7 +328,7 @@
         # After its last event, a resumed stream is empty. At its start, a stream that
         # ends with its connection and has no event was cut.
         needs_event = answer.is_close_delimited and not call.resume_after
-        reporter = StartReporter(answer, attempt, needs_event)
+        reporter = StreamReporter(answer, attempt, needs_event, self._clock)
         stream = EventStream(
             reporter, resume, may_resume, reporter, needs_event=needs_event
         )
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -127,12 +127,18 @@
 
     def replica_answered(self, target: Target) -> None:
         """Record that a replica answered; it may be cold if it failed before."""
-        self._crash_guard.answer_began(target)
         state, now, name = self._routing_state, self._clock.monotonic(), target.name
         if state.health.is_failing(name):
             state.health.succeeded(name, now)
             state.fleet.mark_cold(name, now)
 
+    async def call_survived(self, target: Target) -> None:
+        self.replica_survived(target)
+
+    def replica_survived(self, target: Target) -> None:
+        """Record that a replica survived a call."""
+        self._crash_guard.call_survived(target)
+
     async def attempt_failed(self, target: Target, failure: AttemptFailure) -> None:
         self.replica_failed(target, failure)
 
@@ -157,6 +163,7 @@
         if not prefilled:
             state.loads.prefilled(target.name, target.prompt_tokens)
         if seconds is not None:
+            self.replica_survived(target)
             state.service_times.record(call.service, target.work_class, seconds)
         self._release_slot(target.upstream)
         await self.serve(call.service)
--- /dev/null
+++ b/sassafraskeel/calls/stream_reports.py
@@ -0,0 +1,90 @@
+"""Reports how the answer of a replica to a stream begins, goes on and ends."""
+
+from sassafraskeel.calls.event_streams import EVENT_END, MAX_LINE_END_BYTES
+from sassafraskeel.calls.placement import (
+    SURVIVAL_SECONDS,
+    AttemptFailure,
+    PlacedAttempt,
+)
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import AnswerTruncated, ConnectionLost
+from sassafraskeel.upstreams.replicas import ReplicaAnswer
+
+
+class StreamReporter:
+    """The answer of a replica to a stream, with reports to the placement.
+
+    A replica that crashes on a prompt may have sent the head of its answer and a part
+    of the first event, so only a whole event shows that it began to answer, and only
+    data some time later that it survives. Without `needs_event`, the stream may end
+    without an event.
+    """
+
+    def __init__(
+        self,
+        answer: ReplicaAnswer,
+        attempt: PlacedAttempt,
+        needs_event: bool,
+        clock: Clock,
+    ):
+        self.head = answer.head
+        self._answer = answer
+        self._attempt = attempt
+        self._needs_event = needs_event
+        self._clock = clock
+        self._began_at: float | None = None
+        # The bytes of a line end that the end of the first event may begin with.
+        self._tail = b""
+
+    @property
+    def stall_timeout(self) -> float | None:
+        """Return the seconds without progress after which `read` fails."""
+        return self._answer.stall_timeout
+
+    @stall_timeout.setter
+    def stall_timeout(self, seconds: float | None) -> None:
+        self._answer.stall_timeout = seconds
+
+    def record_progress(self) -> None:
+        """Record that the data read so far is progress."""
+        self._answer.record_progress()
+
+    async def read(self) -> bytes:
+        try:
+            data = await self._answer.read()
+        except (AnswerTruncated, ConnectionLost):
+            await self._report_lost_connection()
+            raise
+        if data:
+            await self._report_data(data)
+        elif self._answer.is_close_delimited:
+            await self._report_end()
+        return data
+
+    async def close(self) -> None:
+        await self._answer.close()
+
+    async def _report_data(self, data: bytes) -> None:
+        now = self._clock.monotonic()
+        if self._began_at is not None:
+            if now - self._began_at >= SURVIVAL_SECONDS:
+                await self._attempt.survived()
+            return
+        buffered = self._tail + data
+        self._tail = buffered[-MAX_LINE_END_BYTES:]
+        if EVENT_END.search(buffered):
+            self._began_at = now
+            await self._attempt.head_received()
+
+    async def _report_lost_connection(self) -> None:
+        if self._began_at is None:
+            await self._attempt.failed(AttemptFailure.LOST)
+        else:
+            await self._attempt.connection_ended()
+
+    async def _report_end(self) -> None:
+        """Report the end of a connection that may be the end of a stream."""
+        if self._needs_event:
+            await self._report_lost_connection()
+        else:
+            await self._attempt.connection_ended()
--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -221,7 +221,7 @@
 
 
 class UpstreamLost(Refusal):
-    """The upstream closed the connection before the head of the answer."""
+    """The connection to the upstream ended before the answer was whole."""
 
 
 def not_run_refusal(
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -68,9 +68,7 @@
     COLD_PROBE = EventSpec(313, Level.INFO, "cold-start probe of a replica")
     CALL_SENT = EventSpec(314, Level.INFO, "call sent to a replica or host")
     REJECTION_CUT = EventSpec(315, Level.INFO, "body of a rejection truncated")
-    REPLICA_CRASHED = EventSpec(
-        316, Level.WARNING, "replica ended before it answered a call"
-    )
+    REPLICA_CRASHED = EventSpec(316, Level.WARNING, "replica ended during a call")
     CRASH_SUSPECT_REFUSED = EventSpec(
         317, Level.WARNING, "calls that crash replicas are refused"
     )
--- a/sassafraskeel/decisions/crash_evidence.py
+++ b/sassafraskeel/decisions/crash_evidence.py
@@ -1,9 +1,9 @@
 """Which features of calls crash replicas, from the crashes that hosts saw (no I/O).
 
 A feature is a keyed hash of a part of a prompt, or of a whole request. A crash blames
-all features of the calls that the replica had not begun to answer. An answer that
-begins takes the blame off its features, so what is left after some crashes is what they
-have in common.
+all features of the calls that the replica was not known to survive: it may have sent
+the first events of an answer. A call that a replica survived takes the blame off its
+features, so what is left after some crashes is what they have in common.
 """
 
 from collections import Counter
@@ -60,8 +60,8 @@
 class CrashTable(NamedTuple):
     """The evidence that one host publishes.
 
-    `cleared` has the features, by crash id, that were answered after a crash that
-    another host published.
+    `cleared` has the features, by crash id, of calls that a replica survived after a
+    crash that another host published.
     """
 
     crashes: tuple[Crash, ...]
@@ -147,13 +147,13 @@
         return not self._events_of
 
     def crash_count(self, feature: str) -> int:
-        """Return the number of crashes since an answer with a feature last began."""
+        """Return the number of crashes since a replica survived a feature."""
         return len(self._events_of.get(feature, ()))
 
     def replica_lost(
         self, service: str, replica: str, features, now: float
     ) -> frozenset[str]:
-        """Record that a replica ended before it began to answer a call.
+        """Record that a replica ended that was not known to survive a call.
 
         Returns the features that the crash blames so far.
         """
@@ -179,7 +179,7 @@
         return crash.features
 
     def answered(self, service: str, features, now: float) -> frozenset[str]:
-        """Record that an answer of a service began.
+        """Record that a replica of a service survived a call.
 
         Returns its features that crashes of replicas of the service had been blamed on.
         """
@@ -221,7 +221,7 @@
         """Return the number of a new trial, 0 while another one of the service runs.
 
         Suspects of a service run one at a time, since a crash blames all calls that
-        the replica had not begun to answer.
+        the replica was not known to survive.
         """
         running = self._trials.get(service)
         if running is not None and now < running.expires:
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -22,6 +22,9 @@
 # Path at which tests set what a replica says of its leaving, as the body.
 LEAVING_PATH = "/test/leaving"
 
+# Time between a part of an answer and the crash of a replica.
+CRASH_DELAY_SECONDS = 0.005
+
 
 class Run(NamedTuple):
     """A request that the replica began to execute."""
@@ -39,11 +42,12 @@
     never answered, and answered with 500. `crash_after` cuts each stream after that
     many events. When it would begin to answer a request to `crash_path`, or a prompt
     with the part `crash_part`, it crashes: all its connections end, a stream after its
-    head, and it is back after `restart_seconds`. Unless `limit` is empty, answers and
-    health checks name it as the requests per second that the replica takes. Unless
-    `leaving` is empty, they have it as the value that says whether the replica leaves.
-    Unless `retry_after` is empty, refusals have it as their Retry-After, and health
-    checks are refused too while `refuse` is not 0.
+    head and `crash_events` events, and it is back after `restart_seconds`. With
+    `crash_events`, a plain answer has its head and a part of its body before. Unless
+    `limit` is empty, answers and health checks name it as the requests per second that
+    the replica takes. Unless `leaving` is empty, they have it as the value that says
+    whether the replica leaves. Unless `retry_after` is empty, refusals have it as their
+    Retry-After, and health checks are refused too while `refuse` is not 0.
     `name` is the instance id of the replica; requests that expect another instance are
     answered with 421.
     """
@@ -65,6 +69,7 @@
         self.crash_after: int | None = None
         self.crash_part = ""
         self.crash_path = ""
+        self.crash_events = 0
         self.restart_seconds = 3.0
         self.crashes: list[float] = []
         self.cold_ms = 0
@@ -167,7 +172,8 @@
         finally:
             self.running -= 1
         crashes = self._crashes_on(request)
-        if crashes and not request.path.startswith("/stream/"):
+        is_stream = request.path.startswith("/stream/")
+        if crashes and not is_stream and not self.crash_events:
             await self._crash()
         load = f"{self.running},0,{self.slots}".encode()
         load_header = (b"x-sassafraskeel-server-load", load)
@@ -175,7 +181,9 @@
         if self.fail:
             self.fail -= 1
             return json_reply({"error": "failed"}, 500, headers)
-        if not request.path.startswith("/stream/"):
+        if crashes and not is_stream:
+            return Reply(200, self._broken_body(), headers)
+        if not is_stream:
             return json_reply({"path": request.path}, 200, headers)
         content_type = (b"content-type", b"text/event-stream")
         stream = self._stream(int(last_event_id or 0), crashes)
@@ -199,12 +207,19 @@
         await curio.spawn(self._server.crash, self.restart_seconds, daemon=True)
         await curio.Event().wait()
 
+    async def _broken_body(self):
+        yield b"{"
+        await self._clock.sleep(CRASH_DELAY_SECONDS)
+        await self._crash()
+
     async def _stream(self, last_event_id: int, crashes: bool):
         self.running += 1
         try:
-            if crashes:
+            if crashes and not self.crash_events:
                 await self._crash()
             for number in range(last_event_id + 1, self.event_count + 1):
+                if crashes and number > last_event_id + self.crash_events:
+                    await self._crash()
                 if self.crash_after is not None and number > self.crash_after:
                     raise ConnectionLost("replica crashed during a stream")
                 await self._clock.sleep(self.delay)
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -267,8 +267,9 @@
 class CallProgress(NamedTuple):
     """Tells the coordinator how the call of a grant goes; it is sent as a Notice.
 
-    `stage` is "head" when the replica began to answer, a value of
-    calls.placement.AttemptFailure, or "ended". `value` is the number of requests that
+    `stage` is "head" when the replica began to answer, "survived" when it has gone on
+    with a stream for some time, a value of calls.placement.AttemptFailure, or "ended".
+    `value` is the number of requests that
     the replica reported, or at the end the seconds for which a complete call held its
     slot; -1 stands for none.
     """
--- a/sassafraskeel/gateways/placement.py
+++ b/sassafraskeel/gateways/placement.py
@@ -95,6 +95,10 @@
         self._change_granted(target, Load(0, -target.prompt_tokens))
         await self._report(target, "head", self._reported_requests(target))
 
+    async def call_survived(self, target: Target) -> None:
+        await self._local.call_survived(target)
+        await self._report(target, "survived", NO_VALUE)
+
     async def attempt_failed(self, target: Target, failure: AttemptFailure) -> None:
         await self._local.attempt_failed(target, failure)
         await self._report(target, failure.value, self._reported_requests(target))
--- a/sassafraskeel/gateways/placement_server.py
+++ b/sassafraskeel/gateways/placement_server.py
@@ -114,6 +114,8 @@
             self._state.loads.reported(name, int(value), now)
         if progress.stage == "head":
             self._record_head(key, grant)
+        elif progress.stage == "survived":
+            self._placement.replica_survived(grant.target)
         elif progress.stage in set(AttemptFailure):
             failure = AttemptFailure(progress.stage)
             self._placement.replica_failed(grant.target, failure)
@@ -156,6 +158,7 @@
         tokens = 0 if grant.prefilled else target.prompt_tokens
         self._state.loads.change_granted(target.name, Load(-1, -tokens))
         if seconds is not None:
+            self._placement.replica_survived(target)
             self._state.service_times.record(grant.service, target.work_class, seconds)
         await self._placement.serve(grant.service)
 
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -279,11 +279,8 @@
             reason = Reason.DEADLINE if timeout == remaining else Reason.UPSTREAM_SILENT
             raise unknown_outcome_refusal(reason, f"{replica.name}: {exc}") from exc
         except (ConnectionLost, AnswerTruncated) as exc:
-            # A replica that crashes on a call sends nothing; a truncated head shows
-            # another fault.
-            error = Refusal if conn.answer_started else UpstreamLost
             detail = f"{replica.name}: {exc}"
-            raise error(Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, detail) from exc
+            raise UpstreamLost(Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, detail) from exc
         except Refusal:
             raise
         except SassafraskeelError as exc:
--- a/tests/test_route_crashes.py
+++ b/tests/test_route_crashes.py
@@ -142,6 +142,33 @@
         await load.run(30)
         self.check(load)
 
+    @with_routes(world_options=FLEET)
+    async def test_crash_after_the_first_event(self, world):
+        """Guards against a first event that takes the blame off a deadly part."""
+        load = Load(world, "/stream/draft/")
+        for replica in world.replicas:
+            replica.crash_events = 1
+        await load.run(30)
+        self.check(load)
+
+    @with_routes(world_options=FLEET)
+    async def test_resumed_crash_after_the_first_event(self, world):
+        """Guards against resumptions of streams that crash after their first event."""
+        load = Load(world, "/stream/chat/")
+        for replica in world.replicas:
+            replica.crash_events = 1
+        await load.run(30)
+        self.check(load)
+
+    @with_routes(world_options=FLEET)
+    async def test_crash_after_the_head_of_a_plain_answer(self, world):
+        """Guards against a head that shows that a replica survived a plain call."""
+        load = Load(world, "/read/")
+        for replica in world.replicas:
+            replica.crash_events = 1
+        await load.run(30)
+        self.check(load)
+
     @with_routes(world_options=FLEET)
     async def test_plain_answers(self, world):
         """Guards against repeats of reads that take the deadly part further."""
