Wait for a replica to stop before a call goes on at another one

Cause: a host that gives up on a replica for its silence closes the connection and goes on elsewhere at once. A close only asks the replica to stop; one that is paused or busy learns of it later. Second sends of orders are ruled out by reading each path to a second send.

The host now ends its side of the connection and waits until the replica has closed its own, for 0.6 s at most and not past the call's time; for forwarded streams the same with the other host. A connection that ended by itself, a caller that left and a deadline that passed wait for nothing.

--- a/sassafraskeel/calls/answers.py
+++ b/sassafraskeel/calls/answers.py
@@ -48,11 +48,17 @@
         self._is_complete = not data
         return data
 
+    async def stop(self) -> None:
+        await self._end(self._answer.stop)
+
     async def close(self) -> None:
+        await self._end(self._answer.close)
+
+    async def _end(self, end_answer) -> None:
         if not self._closed:
             self._closed = True
             try:
-                await self._answer.close()
+                await end_answer()
             finally:
                 await self._release(self._is_complete)
 
--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -13,7 +13,7 @@
     UpstreamStalled,
 )
 from sassafraskeel.core.http import find_header
-from sassafraskeel.core.types import Answer, ResponseHead
+from sassafraskeel.core.types import ResponseHead, StoppableAnswer
 
 EVENT_STREAM = "text/event-stream"
 EVENT_END = re.compile(rb"\r?\n\r?\n")
@@ -25,7 +25,7 @@
 
 # Returns the events of the stream after an event id; raises Refusal. The error is what
 # broke the stream.
-Resume = Callable[[str, SassafraskeelError], Awaitable[Answer]]
+Resume = Callable[[str, SassafraskeelError], Awaitable[StoppableAnswer]]
 MayResume = Callable[[], bool]
 
 
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        answer: Answer,
+        answer: StoppableAnswer,
         resume: Resume | None,
         may_resume: MayResume = lambda: True,
         stalling: StallingAnswer | None = None,
@@ -91,6 +91,9 @@
             if events is not None:
                 return events
 
+    async def stop(self) -> None:
+        await self._answer.stop()
+
     async def close(self) -> None:
         await self._answer.close()
 
@@ -132,7 +135,7 @@
 
     async def _resume_elsewhere(self, exc: SassafraskeelError) -> None:
         # The replica must stop before another one continues its stream.
-        await self._answer.close()
+        await self._answer.stop()
         # The next answer checks by itself whether it needs an event.
         self._pending, self._stalling, self._needs_event = b"", None, False
         try:
--- a/sassafraskeel/calls/stream_reports.py
+++ b/sassafraskeel/calls/stream_reports.py
@@ -61,6 +61,9 @@
             await self._report_end()
         return data
 
+    async def stop(self) -> None:
+        await self._answer.stop()
+
     async def close(self) -> None:
         await self._answer.close()
 
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -17,7 +17,7 @@
     request_events,
     strip_hop_by_hop,
 )
-from sassafraskeel.core.net import Address, Network
+from sassafraskeel.core.net import Address, Network, wait_for_close
 from sassafraskeel.core.types import Headers, ResponseHead
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d{1,9})")
@@ -109,6 +109,13 @@
             is_idle = False
         return is_idle
 
+    async def stop(self, clock: Clock, seconds: float) -> None:
+        """Close once the server has closed its end, or after some seconds."""
+        try:
+            await wait_for_close(self._http.stream, clock, seconds)
+        finally:
+            await self.close()
+
     async def close(self) -> None:
         """Close the connection."""
         await self._http.close()
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -7,7 +7,8 @@
 import curio
 from curio import network, socket, ssl as curio_ssl
 
-from sassafraskeel.core.errors import ConnectionLost, UserError
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import ConnectionLost, TimedOut, UserError
 
 READ_SIZE_BYTES = 65536
 LISTEN_BACKLOG = 1024
@@ -54,6 +55,9 @@
     async def write(self, data: bytes) -> None:
         """Write all bytes; raise ConnectionLost."""
 
+    async def end_writing(self) -> None:
+        """Send the end of the stream; `read` goes on. Raise ConnectionLost."""
+
     async def close(self) -> None:
         """Close the connection; closing twice is harmless."""
 
@@ -61,6 +65,23 @@
         """Close the connection so that the peer does not take it for a clean end."""
 
 
+async def wait_for_close(stream: Stream, clock: Clock, seconds: float) -> bool:
+    """End our side of a connection, and wait until the peer has closed its own.
+
+    Return whether it did within some seconds. What it still sends is dropped.
+    """
+    try:
+        async with clock.timeout(seconds):
+            await stream.end_writing()
+            while await stream.read():
+                pass
+    except TimedOut:
+        return False
+    except ConnectionLost:
+        pass  # The connection is over, too.
+    return True
+
+
 class Listener(Protocol):
     """A socket that accepts connections."""
 
@@ -102,6 +123,12 @@
         except OSError as exc:
             raise ConnectionLost(str(exc)) from exc
 
+    async def end_writing(self) -> None:
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            raise ConnectionLost(str(exc)) from exc
+
     async def close(self) -> None:
         if not self._closed:
             self._closed = True
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -8,6 +8,11 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Before a call goes on at another upstream, the one before may take this long to close
+# its connection. It may be silent for a second or so without being lost, and may run
+# the call for 0.4 s more.
+STOP_SECONDS = 0.6
+
 
 class CallKind(StrEnum):
     """The kind of a call, which decides how it may be executed."""
@@ -132,6 +137,16 @@
         """Release the answer; abandon it at the upstream if it is incomplete."""
 
 
+class StoppableAnswer(Answer, Protocol):
+    """An answer whose call may go on at another upstream."""
+
+    async def stop(self) -> None:
+        """Close the answer once its upstream has closed its end of the connection.
+
+        Close it after STOP_SECONDS at the latest.
+        """
+
+
 class BufferedAnswer:
     """An answer that is held in memory."""
 
--- a/sassafraskeel/core/watched_stream.py
+++ b/sassafraskeel/core/watched_stream.py
@@ -32,6 +32,9 @@
     async def write(self, data: bytes) -> None:
         await self._inner.write(data)
 
+    async def end_writing(self) -> None:
+        await self._inner.end_writing()
+
     async def close(self) -> None:
         await self._inner.close()
 
--- a/sassafraskeel/emulators/__main__.py
+++ b/sassafraskeel/emulators/__main__.py
@@ -101,12 +101,14 @@
     listen: str
     name: str
     zone: str
+    delay_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
 
     def __call__(self):
         address = parse_address(self.listen)
         server = ReplicaEmulator(
             SystemClock(), TcpNetwork(), address, self.name, self.zone
         )
+        server.delay = self.delay_ms / 1000
         curio.run(run_until_stopped, server)
 
 
--- a/sassafraskeel/emulators/faults.py
+++ b/sassafraskeel/emulators/faults.py
@@ -101,6 +101,10 @@
             await self._inner.write(self._fault.leftover)
         self.set_fault(AnswerFault())
 
+    async def end_writing(self) -> None:
+        if not self.silent:
+            await self._inner.end_writing()
+
     async def close(self) -> None:
         if not self.silent:
             await self._inner.close()
--- a/sassafraskeel/emulators/network.py
+++ b/sassafraskeel/emulators/network.py
@@ -102,6 +102,10 @@
             raise ConnectionLost("connection reset")
         await self._outbound.put((self._arrival_time(), data))
 
+    async def end_writing(self) -> None:
+        """Close, since a connection through the Wan is only closed as a whole."""
+        await self.close()
+
     async def close(self) -> None:
         if not self._closed:
             self._closed = True
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -27,12 +27,13 @@
 
 
 class Run(NamedTuple):
-    """A request that the replica began to execute."""
+    """A request that the replica began to execute, until `ended_at`, if it ended."""
 
     request_id: str
     path: str
     last_event_id: str
     started_at: float
+    ended_at: float | None = None
 
 
 class ReplicaEmulator:
@@ -120,7 +121,9 @@
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
         if request.path == LEDGER_PATH:
-            run_times = [(run.request_id, run.started_at) for run in self.runs]
+            run_times = [
+                (run.request_id, run.started_at, run.ended_at) for run in self.runs
+            ]
             content = {
                 "runs": self.ledger,
                 "arrivals": self.arrivals,
@@ -162,6 +165,7 @@
     async def _execute(self, request, request_id, echo) -> Reply:
         last_event_id = request.header(b"last-event-id")
         now = self._clock.monotonic()
+        number = len(self.runs)
         self.runs.append(Run(request_id, request.path, last_event_id, now))
         self.running += 1
         try:
@@ -171,6 +175,7 @@
             await self._clock.sleep(self.delay)
         finally:
             self.running -= 1
+            self._end_run(number)
         crashes = self._crashes_on(request)
         is_stream = request.path.startswith("/stream/")
         if crashes and not is_stream and not self.crash_events:
@@ -186,7 +191,7 @@
         if not is_stream:
             return json_reply({"path": request.path}, 200, headers)
         content_type = (b"content-type", b"text/event-stream")
-        stream = self._stream(int(last_event_id or 0), crashes)
+        stream = self._stream(number, int(last_event_id or 0), crashes)
         return Reply(200, stream, (*headers, content_type))
 
     def _state_headers(self) -> tuple[tuple[bytes, bytes], ...]:
@@ -212,7 +217,11 @@
         await self._clock.sleep(CRASH_DELAY_SECONDS)
         await self._crash()
 
-    async def _stream(self, last_event_id: int, crashes: bool):
+    def _end_run(self, number: int) -> None:
+        now = self._clock.monotonic()
+        self.runs[number] = self.runs[number]._replace(ended_at=now)
+
+    async def _stream(self, run_number: int, last_event_id: int, crashes: bool):
         self.running += 1
         try:
             if crashes and not self.crash_events:
@@ -226,3 +235,4 @@
                 yield f"id: {number}\ndata: piece {number}\n\n".encode()
         finally:
             self.running -= 1
+            self._end_run(run_number)
--- a/sassafraskeel/gateways/channel.py
+++ b/sassafraskeel/gateways/channel.py
@@ -20,7 +20,7 @@
     ProtocolError,
     TimedOut,
 )
-from sassafraskeel.core.net import Address, Network, Stream
+from sassafraskeel.core.net import Address, Network, Stream, wait_for_close
 from sassafraskeel.gateways.codec import MAX_MESSAGE_BYTES, decode, encode
 from sassafraskeel.gateways.messages import Hello
 
@@ -97,6 +97,13 @@
             pass  # The peer has closed the connection, or violated the protocol.
         return False
 
+    async def stop(self, clock: Clock, seconds: float) -> None:
+        """Close once the peer has closed its end, or after some seconds."""
+        try:
+            await wait_for_close(self._stream, clock, seconds)
+        finally:
+            await self.close()
+
     async def close(self) -> None:
         """Close the connection without a closing handshake."""
         await self._stream.close()
--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -18,7 +18,13 @@
 )
 from sassafraskeel.core.net import Network
 from sassafraskeel.core.settings import GatewaySection
-from sassafraskeel.core.types import Call, CallKind, HostInfo, ResponseHead
+from sassafraskeel.core.types import (
+    STOP_SECONDS,
+    Call,
+    CallKind,
+    HostInfo,
+    ResponseHead,
+)
 from sassafraskeel.gateways.channel import Channel, dial
 from sassafraskeel.gateways.messages import (
     Accept,
@@ -97,6 +103,16 @@
         async with self._clock.timeout(self._expires - self._clock.monotonic()):
             return await self._conn.channel.receive()
 
+    async def stop(self) -> None:
+        """Close the channel once the peer has closed its end, or time is up."""
+        if not self._complete:
+            seconds = STOP_SECONDS
+            if self._expires is not None:
+                remaining = self._expires - self._clock.monotonic()
+                seconds = min(seconds, max(remaining, 0.0))
+            await self._conn.channel.stop(self._clock, seconds)
+        await self.close()
+
     async def close(self) -> None:
         if self._complete:
             await self._pool.release(self._conn)
--- a/sassafraskeel/gateways/route_forwarding.py
+++ b/sassafraskeel/gateways/route_forwarding.py
@@ -19,6 +19,7 @@
 from sassafraskeel.core.settings import GatewaySection
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.types import (
+    STOP_SECONDS,
     Call,
     CallKind,
     HostInfo,
@@ -151,6 +152,9 @@
                 Reason.PEER_UNREACHABLE, f"{host.name}: {exc}"
             ) from exc
         except SassafraskeelError as exc:
+            if call.route_policy.resumable:
+                # The call may go on elsewhere. The host may have sent it to a replica.
+                await conn.channel.stop(self._clock, STOP_SECONDS)
             await conn.channel.close()
             raise self._unknown_outcome(call, host, exc) from exc
         except BaseException:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -21,7 +21,13 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.http_client import ClientConnection
 from sassafraskeel.core.log import LogSink
-from sassafraskeel.core.types import Call, CallKind, Headers, ResponseHead
+from sassafraskeel.core.types import (
+    STOP_SECONDS,
+    Call,
+    CallKind,
+    Headers,
+    ResponseHead,
+)
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.decisions.replica_statements import NamedLimit
 from sassafraskeel.upstreams.liveness import LivenessChecks
@@ -162,6 +168,13 @@
         self._complete = not data
         return data
 
+    async def stop(self) -> None:
+        """Close the connection once the replica has closed its end, or time is up."""
+        if not self._complete:
+            remaining = max(self._expires - self._clock.monotonic(), 0.0)
+            await self._conn.stop(self._clock, min(STOP_SECONDS, remaining))
+        await self.close()
+
     async def close(self) -> None:
         """Keep the connection of a complete answer, or close it to cancel the work."""
         if self._closed:
@@ -276,6 +289,9 @@
                 await conn.send(call.method, call.path, headers, body)
                 return await conn.receive_head(allow_close_delimited=True)
         except TimedOut as exc:
+            if timeout < remaining and call.kind is CallKind.MODEL:
+                # The call may go on elsewhere. The replica may run it already.
+                await conn.stop(self._clock, STOP_SECONDS)
             reason = Reason.DEADLINE if timeout == remaining else Reason.UPSTREAM_SILENT
             raise unknown_outcome_refusal(reason, f"{replica.name}: {exc}") from exc
         except (ConnectionLost, AnswerTruncated) as exc:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,11 +1,15 @@
 """Checks of a run, from the observations of callers and replicas."""
 
+import itertools
 from collections import Counter
 from typing import NamedTuple
 
 # Statuses that guarantee that the call did not run and will not run later.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 AT_MOST_ONCE_KINDS = frozenset(("order", "draft"))
+# A replica may work this long on a call after another one has begun to go on with it.
+MAX_OVERLAP_SECONDS = 0.4
+MAX_SOUND_SILENCE_SECONDS = 1.5
 ANSWER_SLACK_SECONDS = 1.0
 # Calls that are sent later than this after the last fault must be served.
 RECOVERY_SECONDS = 4.0
@@ -44,11 +48,15 @@
 
 
 class ReplicaRun(NamedTuple):
-    """The start of a call at a replica, in monotonic seconds."""
+    """A run of a call at a replica; times are monotonic seconds.
+
+    `ended_at` is None if the replica was still at work when it was asked.
+    """
 
     call_id: str
     replica: str
     started_at: float
+    ended_at: float | None = None
 
 
 class Span(NamedTuple):
@@ -75,9 +83,9 @@
 class Record(NamedTuple):
     """The observations of one run.
 
-    `drained` holds the periods in which a replica must get no new calls, and `paused`
-    those in which the process of a host, a replica or the store was stopped by
-    SIGSTOP.
+    `drained` holds the periods in which a replica must get no new calls, `paused` those
+    in which the process of a host, a replica or the store was stopped by SIGSTOP, and
+    `link_faults` those in which connections to a replica or the store had a fault.
     """
 
     outcomes: list[Outcome]
@@ -88,6 +96,7 @@
     events_per_stream: int
     stale_directory_entries: list[str]
     limited: list[LimitedSpan]
+    link_faults: list[Span] = []
 
 
 def check_at_most_once(record: Record) -> list[str]:
@@ -100,6 +109,42 @@
     ]
 
 
+def check_one_replica(record: Record) -> list[str]:
+    """Return the streams that ran at a replica while another one went on with them.
+
+    A sound replica may fall silent for a while. Left out are runs at replicas that were
+    silent for longer or had a fault of their link, and runs during which any host was
+    paused, since it could not end what it had sent.
+    """
+    hosts = {outcome.host for outcome in record.outcomes}
+    long_pauses = [
+        span
+        for span in record.paused
+        if span.name in hosts or span.until - span.since > MAX_SOUND_SILENCE_SECONDS
+    ]
+    runs: dict[str, list[ReplicaRun]] = {}
+    for run in sorted(record.runs, key=lambda run: run.started_at):
+        runs.setdefault(run.call_id, []).append(run)
+    problems = []
+    for call_id, found in runs.items():
+        for before, after in itertools.pairwise(found):
+            if before.ended_at is None:
+                continue  # The replica was asked during its run.
+            overlap = before.ended_at - after.started_at
+            excused = any(
+                span.name in (before.replica, *hosts)
+                and span.since < before.ended_at
+                and before.started_at < span.until
+                for span in (*long_pauses, *record.link_faults)
+            )
+            if overlap > MAX_OVERLAP_SECONDS and not excused:
+                problems.append(
+                    f"{call_id} ran at {before.replica} for {overlap:.2f} s after "
+                    f"{after.replica} had begun"
+                )
+    return problems
+
+
 def check_not_run(record: Record) -> list[str]:
     """Return the at-most-once calls that were refused as not run although they ran."""
     ran = {run.call_id for run in record.runs}
@@ -202,6 +247,7 @@
 
 CHECKS = (
     check_at_most_once,
+    check_one_replica,
     check_not_run,
     check_answers,
     check_deadlines,
--- a/soak/run.py
+++ b/soak/run.py
@@ -50,12 +50,14 @@
 class RunSize(NamedTuple):
     """The duration of the faults in seconds, and the size of the deployment.
 
-    `zones` gives the numbers of hosts and replicas of each zone.
+    `zones` gives the numbers of hosts and replicas of each zone. `delay_ms` is how long
+    a replica takes for an answer and for each event of a stream.
     """
 
     seconds: float
     callers: int
     zones: dict[str, tuple[int, int]]
+    delay_ms: float = 20.0
 
 
 class SoakRun:
@@ -68,13 +70,14 @@
     def __init__(self, seed: int, size: RunSize):
         self._seed, self._size = seed, size
         self._clock, self._network = SystemClock(), TcpNetwork()
-        self._cluster = RouteCluster(size.zones)
+        self._cluster = RouteCluster(size.zones, size.delay_ms)
         self._group = SupervisedTaskGroup()
         self._proxies: dict[str, Proxy] = {}
         self._proxy_addresses: dict[str, str] = {}
         self._down_since: dict[str, float] = {}
         self._drained_spans: list[Span] = []
         self._paused_spans: list[Span] = []
+        self._link_faults: list[Span] = []
         # Replicas that are drained or evacuated now.
         self._drained_replicas: set[str] = set()
         self._stale_directory_entries: list[str] = []
@@ -170,6 +173,7 @@
             STREAM_EVENTS,
             self._stale_directory_entries,
             self._limited,
+            self._link_faults,
         )
 
     async def _apply(self, step: Step) -> None:
@@ -186,10 +190,11 @@
         elif step.kind == "reset":
             await self._proxies[step.target].reset()
         else:
-            proxy = self._proxies[step.target]
+            proxy, since = self._proxies[step.target], self._clock.monotonic()
             proxy.fault = LINK_FAULTS[step.kind]
             await self._clock.sleep(step.duration)
             proxy.fault = NO_FAULT
+            self._link_faults.append(Span(step.target, since, self._clock.monotonic()))
             # Connections that lost bytes cannot be used any more.
             await proxy.reset()
 
@@ -302,7 +307,10 @@
 
     async def _runs(self, replica: str) -> list[ReplicaRun]:
         ledger = await self._ledger(replica)
-        return [ReplicaRun(name, replica, at) for name, at in ledger["log"]]
+        return [
+            ReplicaRun(name, replica, since, until)
+            for name, since, until in ledger["log"]
+        ]
 
     async def _ledger(self, replica: str) -> dict:
         return json.loads(await self._ask_replica(replica, "GET", LEDGER_PATH))
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -130,6 +130,14 @@
         await self.peer._changed.set()
         await curio.sleep(0)
 
+    async def end_writing(self) -> None:
+        await self._faults.wait(self.node)
+        if self._closed or self.peer._closed:
+            raise ConnectionLost("broken pipe")
+        if not self._lose_if_cut():
+            self.peer._ended = True
+            await self.peer._changed.set()
+
     async def close(self) -> None:
         if not self._closed:
             self._closed = True
@@ -142,6 +150,10 @@
         """Return whether this end was closed."""
         return self._closed
 
+    def has_ended(self) -> bool:
+        """Return whether the peer has closed its end, or stopped to write."""
+        return self._ended
+
     async def reset(self) -> None:
         """Close so that the peer reads what was written, and then fails to read."""
         self.peer._reset = True
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -37,6 +37,9 @@
             raise ConnectionLost("reset")
         return b""
 
+    async def stop(self):
+        self.closed = True
+
     async def close(self):
         self.closed = True
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,7 +26,13 @@
 
 
 def record(
-    *outcomes, runs=(), drained=(), paused=(), stale_directory_entries=(), limited=()
+    *outcomes,
+    runs=(),
+    drained=(),
+    paused=(),
+    stale_directory_entries=(),
+    limited=(),
+    link_faults=(),
 ):
     """Return a record with enough served calls after the faults, and the given ones."""
     good = [outcome(number) for number in range(100, 130)]
@@ -40,6 +46,7 @@
         len(ALL_EVENTS),
         list(stale_directory_entries),
         list(limited),
+        list(link_faults),
     )
 
 
@@ -47,6 +54,24 @@
     def failed_checks(self, *args, **fields):
         return {text.split(":")[0] for text in find_problems(record(*args, **fields))}
 
+    def test_replica_that_runs_on(self):
+        """Guards against streams that two replicas run at once without a finding."""
+        chat = outcome(1, "chat", event_ids=ALL_EVENTS)
+
+        def failed(ended_at, **fields):
+            runs = [ReplicaRun("c-1", "r-0", 9.0, ended_at)]
+            runs.append(ReplicaRun("c-1", "r-1", 10.0, 10.2))
+            return self.failed_checks(chat, runs=runs, **fields)
+
+        self.assertEqual(failed(10.3), set())
+        self.assertEqual(failed(None), set())
+        self.assertEqual(failed(10.5), {"check_one_replica"})
+        sound = [Span("r-0", 9.1, 10.5)]
+        self.assertEqual(failed(10.5, paused=sound), {"check_one_replica"})
+        for span in (Span("r-0", 9.1, 10.7), Span("h-0", 9.1, 9.5)):
+            self.assertEqual(failed(10.7, paused=[span]), set())
+        self.assertEqual(failed(10.5, link_faults=sound), set())
+
     def test_allowed_results(self):
         """Guards against checks that report allowed results."""
         resumed = outcome(1, "chat", event_ids=ALL_EVENTS)
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -100,10 +100,11 @@
     """The processes of a deployment; a context manager that starts and ends them.
 
     `zones` gives the numbers of hosts and replicas of each zone. Each zone is a
-    separate region.
+    separate region. `delay_ms` is how long replicas take for an answer, and for each
+    event of a stream.
     """
 
-    def __init__(self, zones: dict[str, tuple[int, int]]):
+    def __init__(self, zones: dict[str, tuple[int, int]], delay_ms: float = 20.0):
         self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
         self.folder = Path(self._folder.name)
         self.used_addresses: set[str] = set()
@@ -114,6 +115,7 @@
         self.hosts: list[HostProcess] = []
         self.replicas: list[ReplicaProcess] = []
         self._zones = zones
+        self._delay_ms = delay_ms
         for zone, (hosts, replicas) in zones.items():
             for number in range(hosts):
                 listen = {name: free_address(self.used_addresses) for name in LISTENERS}
@@ -153,6 +155,7 @@
             replica.address,
             replica.name,
             replica.zone,
+            f"--delay-ms={self._delay_ms:g}",
         )
 
     def close(self) -> None:
