Leave a silent replica only if another target is known

Cause: a stream that stalled was taken from its replica whenever the call as such might be repeated. Whether a target exists was not asked, and the replica was then excluded for good. The bound of 1.0 s lay within the second or so for which a sound replica may be silent. Heads of streams and plain answers had the same gap.

A call now stays at a silent replica while no other target is known, and looks again each quarter of a second; streams stall after 1.6 s, or half of their callers' patience; a broken stream may go on at its own replica if no other one is left.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -84,6 +84,12 @@
         self.round_attempts = 0
         self.rounds += 1
 
+    def targets_left(self) -> "AttemptHistory":
+        """Return a history that excludes all targets which may have run the call."""
+        left = AttemptHistory()
+        left.excluded = self.excluded | {run.name for run in self.runs.values()}
+        return left
+
     def record_run(self, target: Target) -> None:
         """Record that the target of the latest attempt may have run the call."""
         self.runs[self.attempts] = target
--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -19,6 +19,8 @@
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 MAX_EVENT_BYTES = 1 << 20
+# How often a stream that stalls, and has no other target, looks for one.
+STALL_CHECK_SECONDS = 0.25
 
 # The bytes of an incomplete line end that the end of an event may begin with.
 MAX_LINE_END_BYTES = 3
@@ -37,6 +39,9 @@
     def record_progress(self) -> None:
         """Record that the data read so far is progress."""
 
+    def wait_longer(self, seconds: float) -> None:
+        """Raise UpstreamStalled some seconds from now if there is no progress."""
+
 
 def is_event_stream(head: ResponseHead) -> bool:
     """Return whether an answer is a stream of server-sent events."""
@@ -47,8 +52,8 @@
     """A stream of events with increasing ids that is resumed elsewhere after an error.
 
     Without `resume`, a truncated stream ends with an error. Incomplete events are
-    never forwarded and are no progress. A stream that stalls is resumed only if
-    `may_resume` allows it; otherwise it goes on, because it may only be slow.
+    never forwarded and are no progress. A stream that stalls is resumed once
+    `may_resume` allows it; until then it goes on, because it may only be slow.
     `stalling` is the answer if it has a stall timeout. With `needs_event`, a stream
     that ends before its first event is truncated.
     """
@@ -81,7 +86,7 @@
                 events = await self._read_events()
             except SassafraskeelError as exc:
                 if isinstance(exc, UpstreamStalled) and not self._is_resumable():
-                    self._stalling.stall_timeout = None
+                    self._stalling.wait_longer(STALL_CHECK_SECONDS)
                     continue
                 # The answer of a resume is an EventStream that resumes itself.
                 if self._resume is None or isinstance(exc, Refusal | StreamNotResumed):
--- a/sassafraskeel/calls/placement.py
+++ b/sassafraskeel/calls/placement.py
@@ -66,6 +66,9 @@
     async def find_target(self, call: Call, history: AttemptHistory) -> Target:
         """Return a target; raise Refusal (not run) if there is none in time."""
 
+    def has_target(self, call: Call, history: AttemptHistory) -> bool:
+        """Return whether a target is known that could take a call now or soon."""
+
     async def head_received(self, target: Target) -> None:
         """Record that a replica began to answer, so that the prompt is prefilled.
 
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -27,8 +27,10 @@
     Call,
     CallKind,
     HostInfo,
+    RoutePolicy,
 )
 from sassafraskeel.decisions.fleet import Replica
+from sassafraskeel.decisions.routes import abandon_seconds
 from sassafraskeel.decisions.shared_retry_budget import SharedRetryBudget
 
 # Attempts of one call, including rejections and failed connections; a stream that is
@@ -41,10 +43,12 @@
 MIN_STREAM_TIMEOUT_SECONDS = 0.8
 TIMEOUT_FACTOR = 4.0
 # A resumable stream is resumed elsewhere after a gap of STALL_TIMEOUT_FACTOR times the
-# pause that its route allows, but not before this minimum. Callers abandon a stream
-# after two seconds or more without an event.
-MIN_STALL_TIMEOUT_SECONDS = 1.0
+# pause that its route allows, but not before this minimum, because sound replicas may
+# be silent for a second or so. The rest of the time after which its caller abandons it
+# is for stopping the replica and resuming the stream.
+MIN_STALL_TIMEOUT_SECONDS = 1.6
 STALL_TIMEOUT_FACTOR = 3.0
+MAX_STALL_SHARE = 0.5
 # Refusals of hosts that have sent the call to no replica.
 UNSENT_REASONS = (Reason.DRAINING, Reason.PEER_UNREACHABLE)
 MIN_FAILURE_STATUS = 500
@@ -195,6 +199,9 @@
         self._budget.record_retry(call.service, now)
         history.charged_at = now
 
+    def has_target(self, call: Call, history: AttemptHistory) -> bool:
+        return self._placement.has_target(call, history)
+
     def check_budget(self, call: Call) -> None:
         """Raise Refusal if the retry budget allows no retry."""
         now = self._clock.monotonic()
@@ -263,9 +270,7 @@
     async def _send(self, target: Target, call, body, history):
         replica = target.upstream
         head_timeout = None
-        if call.route_policy.repeatable and self._may_retry_possibly_run(
-            call, history, planned_attempts=1
-        ):
+        if call.route_policy.repeatable and self._may_leave(target, call, history):
             head_timeout = self._head_timeout(target, call)
 
         def check():
@@ -316,15 +321,14 @@
                 await attempt.connection_ended()
             await release(True)
             return buffered
-        if call.route_policy.resumable:
-            stall_timeout = STALL_TIMEOUT_FACTOR * call.route_policy.max_pause
-            answer.stall_timeout = max(MIN_STALL_TIMEOUT_SECONDS, stall_timeout)
+        if call.route_policy.resumable and not call.hops:
+            answer.stall_timeout = _stall_timeout(call.route_policy)
         # Only the host that received the call from its caller resumes, so that
         # attempts do not multiply with each forwarding host.
         resume = (
             None if call.hops else self._resumer.resume_function(call, body, history)
         )
-        may_resume = partial(self._may_retry_possibly_run, call, history)
+        may_resume = partial(self._may_leave, target, call, history)
         # After its last event, a resumed stream is empty. At its start, a stream that
         # ends with its connection and has no event was cut.
         needs_event = answer.is_close_delimited and not call.resume_after
@@ -341,6 +345,19 @@
             minimum = MIN_PLAIN_TIMEOUT_SECONDS
         return max(minimum, TIMEOUT_FACTOR * target.predicted_seconds)
 
+    def _may_leave(self, target: Target, call: Call, history: AttemptHistory) -> bool:
+        """Return whether a call may go on elsewhere if its replica stays silent.
+
+        Without another target it stays, because a sound replica may be silent too.
+        """
+        left = history.targets_left()
+        left.excluded.add(target.name)
+        is_recorded = target in history.runs.values()
+        planned_attempts = 0 if is_recorded else 1
+        return self._may_retry_possibly_run(
+            call, history, planned_attempts
+        ) and self._placement.has_target(call, left)
+
     def _may_retry_possibly_run(
         self, call: Call, history: AttemptHistory, planned_attempts: int = 0
     ) -> bool:
@@ -443,3 +460,9 @@
             sends=history.attempts,
             predicted_ms=round(target.predicted_seconds * 1000),
         )
+
+
+def _stall_timeout(policy: RoutePolicy) -> float:
+    timeout = max(MIN_STALL_TIMEOUT_SECONDS, STALL_TIMEOUT_FACTOR * policy.max_pause)
+    longest = MAX_STALL_SHARE * abandon_seconds(policy.objective, policy.max_pause)
+    return min(timeout, longest)
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -90,6 +90,15 @@
             await self.release(target, call, prefilled=False)
             raise
 
+    def has_target(self, call: Call, history: AttemptHistory) -> bool:
+        now = self._clock.monotonic()
+        if self.options.has_local(call, history, now):
+            return True
+        if call.hops:
+            return False
+        best = self.options.best_region(call, history, now, free_only=False)
+        return best is not None
+
     async def _find_free_target(self, call: Call, history: AttemptHistory) -> Target:
         started_at = self._clock.monotonic()
         give_up_at = started_at + NO_REPLICA_WAIT_SECONDS
--- a/sassafraskeel/calls/stream_reports.py
+++ b/sassafraskeel/calls/stream_reports.py
@@ -49,6 +49,10 @@
         """Record that the data read so far is progress."""
         self._answer.record_progress()
 
+    def wait_longer(self, seconds: float) -> None:
+        """Let `read` fail some seconds from now if there is no progress."""
+        self._answer.wait_longer(seconds)
+
     async def read(self) -> bytes:
         try:
             data = await self._answer.read()
--- a/sassafraskeel/calls/stream_resumer.py
+++ b/sassafraskeel/calls/stream_resumer.py
@@ -36,6 +36,9 @@
     def check_budget(self, call: Call) -> None:
         """Raise Refusal if the retry budget allows no retry."""
 
+    def has_target(self, call: Call, history: AttemptHistory) -> bool:
+        """Return whether a target is known that could take a call now or soon."""
+
 
 class StreamResumer:
     """Resumes streams until their own time or that of the local host ends."""
@@ -86,6 +89,9 @@
                 Reason.UPSTREAM_FAILED, "no further attempt is allowed"
             )
         history.start_round()
+        if not self._policy.has_target(call, history):
+            # A replica that lost one connection, or came back, may go on by itself.
+            history.excluded.clear()
         self._policy.check_budget(call)
         now = self._clock.monotonic()
         call = call._replace(queue_deadline=now + RESUME_TIMEOUT_SECONDS)
--- a/sassafraskeel/decisions/routes.py
+++ b/sassafraskeel/decisions/routes.py
@@ -7,6 +7,10 @@
 from sassafraskeel.core.types import CallKind
 
 SPLIT_BUCKETS = 10_000
+# Callers abandon a stream without an event for the longest of these times.
+ABANDON_SECONDS = 2.0
+ABANDON_OBJECTIVES = 4
+ABANDON_MAX_PAUSES = 8
 
 
 class TrafficShare(NamedTuple):
@@ -39,6 +43,16 @@
     home_regions: frozenset[str]
 
 
+def abandon_seconds(objective: float, max_pause: float) -> float:
+    """Return the seconds after which callers abandon a stream without an event.
+
+    `objective` is that of its first event and `max_pause` the longest pause between two
+    events for which it is in time, both in seconds.
+    """
+    by_objective = ABANDON_OBJECTIVES * objective
+    return max(ABANDON_SECONDS, by_objective, ABANDON_MAX_PAUSES * max_pause)
+
+
 class EngineSpec(NamedTuple):
     """The engine of each replica of a model service."""
 
--- a/sassafraskeel/gateways/placement.py
+++ b/sassafraskeel/gateways/placement.py
@@ -90,6 +90,9 @@
                 return target
         return await self._local.find_target(call, history)
 
+    def has_target(self, call: Call, history: AttemptHistory) -> bool:
+        return self._local.has_target(call, history)
+
     async def head_received(self, target: Target) -> None:
         await self._local.head_received(target)
         self._change_granted(target, Load(0, -target.prompt_tokens))
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -23,7 +23,7 @@
     RoutePolicy,
 )
 from sassafraskeel.decisions.fleet import Fleet
-from sassafraskeel.decisions.routes import Route, choose_service
+from sassafraskeel.decisions.routes import Route, abandon_seconds, choose_service
 from sassafraskeel.platform import wire
 
 DEFAULT_LIMITS = RequestTimeouts(idle=15.0, head=3.0, body=30.0)
@@ -31,12 +31,8 @@
 BODY_TIMEOUT_SECONDS = 30.0
 MAX_ADDRESSES = 64
 MAX_PROMPT_PARTS = 256
-# Callers abandon a stream that has sent no event after the longest of two seconds,
-# four latency objectives and eight maximum pauses. A call may be queued for half of
-# that time, which leaves the other half to the replica.
-FIRST_EVENT_SECONDS = 2.0
-FIRST_EVENT_OBJECTIVES = 4
-FIRST_EVENT_MAX_PAUSES = 8
+# A call may be queued for half of the time after which its caller abandons it, which
+# leaves the other half to the replica.
 QUEUE_SHARE = 0.5
 DEFAULT_RETRY_SECONDS = 0.5
 # A host in a distant region receives the manifest within 0.4 s of its start.
@@ -206,10 +202,7 @@
     """Return how many seconds a caller waits for the first event of a stream."""
     if route.kind is not CallKind.MODEL:
         return math.inf
-    objectives = FIRST_EVENT_OBJECTIVES * route.objective
-    return max(
-        FIRST_EVENT_SECONDS, objectives, FIRST_EVENT_MAX_PAUSES * route.max_pause
-    )
+    return abandon_seconds(route.objective, route.max_pause)
 
 
 def _build_route_policy(route: Route, version: int, headers: Headers) -> RoutePolicy:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -145,6 +145,11 @@
         """Record that the data read so far is progress."""
         self._progress_at = self._clock.monotonic()
 
+    def wait_longer(self, seconds: float) -> None:
+        """Let `read` raise UpstreamStalled some seconds from now."""
+        now = self._clock.monotonic()
+        self._progress_at = now + seconds - (self.stall_timeout or 0.0)
+
     async def read(self) -> bytes:
         """Return the next bytes, or b"" after the end; raise SassafraskeelError.
 
--- a/tests/test_overlapping_runs.py
+++ b/tests/test_overlapping_runs.py
@@ -11,10 +11,9 @@
 import time
 from unittest import TestCase
 
-from sassafraskeel.core.errors import ConnectionLost
-from tests.support.raw_server import answer_head
 from tests.support.routes import ROUTES, manifest, with_routes
-from tests.test_route_faults import STREAM_HEADERS, chunk, replace_replicas
+from tests.support.slow_replica import SlowReplica
+from tests.test_route_faults import replace_replicas
 from tests.test_route_host import drain_stream, events
 from tools.route_cluster import RouteCluster, call, fetch
 
@@ -24,43 +23,6 @@
 OPTIONS = {"document": manifest(routes=[dict(r, targetLatencyMs=800) for r in ROUTES])}
 
 
-class SlowReplica:
-    """A replica that does not read its connections while it is silent.
-
-    It begins a run at once, sends `events_before` events, is silent for some seconds,
-    and sends the rest unless the connection has been closed. `ended_at` is when it
-    stopped its last run.
-    """
-
-    def __init__(self, world, events_before, silent_seconds):
-        self._clock = world.clock
-        self._events_before = events_before
-        self._silent_seconds = silent_seconds
-        self.ended_at = None
-
-    async def answer(self, server, stream, request_id):
-        head = answer_head(request_id, b"200 OK", *STREAM_HEADERS)
-        try:
-            if self._events_before:
-                await stream.write(head + self._chunks(1, self._events_before))
-                head = b""
-            await self._clock.sleep(self._silent_seconds)
-            await self._check_open(stream)
-            await stream.write(head + self._chunks(self._events_before + 1, 5))
-            await stream.write(b"0\r\n\r\n")
-        finally:
-            self.ended_at = self._clock.monotonic()
-
-    def _chunks(self, first, last):
-        numbers = range(first, last + 1)
-        return b"".join(chunk(f"id: {n}\ndata: x\n\n".encode()) for n in numbers)
-
-    async def _check_open(self, stream):
-        """Raise ConnectionLost if the end of the connection has arrived."""
-        if stream.has_ended():
-            raise ConnectionLost("closed")
-
-
 class OverlapTest(TestCase):
     async def check(self, world, events_before, silent_seconds):
         """Send a stream; return the runs of the replica that may go on with it."""
