Let calls with only sound parts of crashed calls run again

Cause: from five crashes on, more than half of the features that crashed together are enough for a refusal. With two shared parts and a deadly one, every sound call has that many; no trial was due for 120 s, and that replicas had survived the parts many times before counted for nothing.

Features that replicas survived in the last ten minutes are no possible cause while others are, and a call with only a part of the possible causes is tried from 2 s after the fifth crash on, three times as late after each further one.

--- a/sassafraskeel/calls/crash_guard.py
+++ b/sassafraskeel/calls/crash_guard.py
@@ -85,7 +85,7 @@
     def call_survived(self, target: Target) -> None:
         """Record that a replica survived a call."""
         self.attempt_ended(target)
-        if target.features and not self._evidence.is_empty:
+        if target.features:
             now = self._clock.monotonic()
             service = target.upstream.service
             suspects = self._suspects(target.features)
--- a/sassafraskeel/decisions/crash_evidence.py
+++ b/sassafraskeel/decisions/crash_evidence.py
@@ -29,6 +29,11 @@
 # are enough for a refusal. Otherwise a caller could add features to its calls and leave
 # out one of them each time.
 MANY_CRASHES = 5
+# A call with only a part of those features is tried this long after the latest crash,
+# PARTIAL_TRIAL_FACTOR times as long after each further one, since it may be as sound as
+# calls without any.
+FIRST_PARTIAL_TRIAL_SECONDS = 2.0
+PARTIAL_TRIAL_FACTOR = 3
 # A refused feature is tried again after this time, doubled with each further crash.
 # Each host waits for a share of RETRIAL_SPREAD times as long in addition, so that one
 # tries before the others and they learn of its result.
@@ -41,6 +46,7 @@
 MAX_CRASHES = 32
 MAX_FEATURES = 256
 MAX_CLEARED = 8192
+MAX_SURVIVED = 8192
 MAX_TABLES = 256
 # The latest crashes of all tables that count.
 MAX_MERGED_CRASHES = 256
@@ -121,8 +127,9 @@
     """The evidence of all hosts, merged, and the trials of the local region.
 
     Each host keeps MAX_CRASHES crashes that it saw, with MAX_FEATURES features each,
-    and MAX_CLEARED clearances, for EXPIRY_SECONDS. Crashes without a suspect are
-    dropped first, then the oldest. `version` changes with the table to publish.
+    MAX_CLEARED clearances, and the MAX_SURVIVED features that replicas survived last,
+    for EXPIRY_SECONDS. Crashes without a suspect are dropped first, then the oldest.
+    `version` changes with the table to publish.
     """
 
     def __init__(self, host: str, incarnation: str):
@@ -130,6 +137,8 @@
         self._incarnation = incarnation[:MAX_INCARNATION_LENGTH]
         self._crashes: dict[str, Crash] = {}
         self._cleared: dict[str, set[str]] = {}
+        # When replicas last survived a feature, by service and feature.
+        self._survived_at: dict[tuple[str, str], float] = {}
         # Crashes of earlier runs; a copy of the store may list cleared ones again.
         self._taken_over: set[str] = set()
         self._tables: dict[str, CrashTable] = {}
@@ -183,6 +192,11 @@
 
         Returns its features that crashes of replicas of the service had been blamed on.
         """
+        for feature in features:
+            self._survived_at.pop((service, feature), None)
+            self._survived_at[service, feature] = now
+        while len(self._survived_at) > MAX_SURVIVED:
+            del self._survived_at[next(iter(self._survived_at))]
         blamed = frozenset(features) & self._events_of.keys()
         if not blamed:
             return blamed
@@ -281,7 +295,8 @@
         """Return for how many seconds a feature keeps a call refused, 0 if it may run.
 
         Features that crashed whenever this one did explain its crashes as well as it
-        does, so a call without them does not have to crash.
+        does, so a call without them does not have to crash. Those that replicas have
+        survived earlier explain them less.
         """
         score = self.crash_count(feature)
         if score < REFUSED_CRASHES:
@@ -290,16 +305,35 @@
         if self._may_be_one_failure(events):
             return 0.0
         last = events[-1]
-        inseparable = self._inseparable_features(feature)
-        needed = len(inseparable)
-        if score >= MANY_CRASHES:
-            needed = needed // 2 + 1
-        if len(inseparable & features) < needed:
-            return 0.0
+        causes = self._possible_causes(feature, last.crash.service, now)
+        found = len(causes & features)
         wait = FIRST_RETRIAL_SECONDS * 2 ** (score - REFUSED_CRASHES)
+        if found < len(causes):
+            if score < MANY_CRASHES or found <= len(causes) // 2:
+                return 0.0
+            wait = FIRST_PARTIAL_TRIAL_SECONDS * PARTIAL_TRIAL_FACTOR ** (
+                score - MANY_CRASHES
+            )
         wait = min(wait * (1 + RETRIAL_SPREAD * self._share(feature)), EXPIRY_SECONDS)
         return max(last.crash.at + wait - now, 0.0)
 
+    def _possible_causes(
+        self, feature: str, service: str, now: float
+    ) -> frozenset[str]:
+        """Return the features that may have caused all crashes of a feature.
+
+        Features that replicas survived earlier are left out, unless none is left: a
+        part may turn deadly.
+        """
+        inseparable = self._inseparable_features(feature)
+        since = now - EXPIRY_SECONDS
+        unknown = frozenset(
+            name
+            for name in inseparable
+            if self._survived_at.get((service, name), since) <= since
+        )
+        return unknown or inseparable
+
     def _may_be_one_failure(self, events: list[_Event]) -> bool:
         """Return whether crashes may have one cause, such as the loss of a zone.
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -10,9 +10,11 @@
 from sassafraskeel.core.errors import LeaseLost, MalformedDocument
 from sassafraskeel.decisions.crash_evidence import (
     EXPIRY_SECONDS,
+    FIRST_PARTIAL_TRIAL_SECONDS,
     FIRST_RETRIAL_SECONDS,
     MAX_CRASHES,
     MAX_FEATURES,
+    MAX_SURVIVED,
     RETRIAL_SPREAD,
     CrashEvidence,
     Verdict,
@@ -137,6 +139,47 @@
             at += 1.0
         self.assertLessEqual(crashes, 12)
 
+    def crash_often(self, *features):
+        """Record five crashes of calls with the same features, until 5 s."""
+        for number in range(5):
+            crash(self.evidence, f"r-{number}", features, 1.0 + number)
+
+    def test_parts_that_were_survived_before(self):
+        """Guards against sound calls that are refused for parts of deadly ones."""
+        self.evidence.answered(SERVICE, ("first", "second"), 0.5)
+        self.crash_often("first", "second", "deadly")
+        sound = ("first", "second", "own")
+        self.assertIs(verdict(self.evidence, sound, 5.1), Verdict.TRIAL)
+        deadly = (*sound, "deadly")
+        self.assertIs(verdict(self.evidence, deadly, 5.1), Verdict.REFUSED)
+        self.evidence.answered(SERVICE, sound, 5.2)
+        self.assertIs(verdict(self.evidence, sound, 5.3), Verdict.CLEAR)
+        self.assertIs(verdict(self.evidence, deadly, 5.3), Verdict.REFUSED)
+
+    def test_survived_part_turns_deadly(self):
+        """Guards against a part that is excused for good since it was sound once."""
+        self.evidence.answered(SERVICE, ("part",), 0.5)
+        for number in range(3):
+            crash(self.evidence, f"r-{number}", ("part", "new"), 1.0 + number)
+        self.assertIs(verdict(self.evidence, ("part",), 4.0), Verdict.TRIAL)
+        crash(self.evidence, "r-3", ("part",), 4.0)
+        self.assertIs(verdict(self.evidence, ("part",), 5.0), Verdict.REFUSED)
+
+    def test_trial_of_a_part_of_the_suspects(self):
+        """Guards against sound calls that are refused for minutes without a trial."""
+        self.crash_often("first", "second", "deadly")
+        sound, both = ("first", "second"), ("first", "second", "deadly")
+        self.assertIs(verdict(self.evidence, sound, 5.1), Verdict.REFUSED)
+        at = 5.0 + FIRST_PARTIAL_TRIAL_SECONDS * (1 + RETRIAL_SPREAD)
+        self.assertIs(verdict(self.evidence, sound, at), Verdict.TRIAL)
+        self.assertIs(verdict(self.evidence, both, at), Verdict.REFUSED)
+
+    def test_bound_of_survived_features(self):
+        """Guards against a table that grows with each feature that was survived."""
+        for number in range(2 * MAX_SURVIVED):
+            self.evidence.answered(SERVICE, (f"part-{number}",), 1.0)
+        self.assertEqual(len(self.evidence._survived_at), MAX_SURVIVED)
+
     def test_one_trial_after_a_long_time(self):
         """Guards against a part that is refused although it no longer crashes."""
         self.crash_thrice("part")
--- a/tests/test_route_crashes.py
+++ b/tests/test_route_crashes.py
@@ -214,6 +214,41 @@
         await load.run(10)
         self.assertEqual(len(load.crashes), count)
 
+    async def check_pause(self, world, load):
+        """Send deadly calls in a pause of the sound ones, which then go on."""
+        for _ in range(30):
+            await load.start(load.deadly, FIRST, "e1", DEADLY)
+            await world.clock.sleep(0.2)
+        load.sound.clear()
+        for _ in range(200):
+            await load.start(load.deadly, FIRST, "e1", DEADLY)
+            await load.start(load.sound, FIRST, "e1")
+            await world.clock.sleep(0.1)
+        await load.finish()
+        crashes = load.crashes
+        counted = crashes[min(4, len(crashes) - 1)]
+        late = [at for at in crashes if at > counted + STABLE_SECONDS]
+        self.assertLessEqual(len(late), 3, crashes)
+        share = answered_share(load.sound, counted + ANSWERED_SECONDS)
+        self.assertGreater(share, 0.95)
+
+    @with_routes(world_options=FLEET)
+    async def test_deadly_part_in_a_pause(self, world):
+        """Guards against sound calls that are refused after crashes in their pause."""
+        load = Load(world, "/stream/draft/")
+        for _ in range(50):
+            await load.start(load.sound, FIRST, "e1")
+            await world.clock.sleep(0.1)
+        await self.check_pause(world, load)
+
+    @with_routes(world_options=FLEET)
+    async def test_deadly_part_before_sound_calls(self, world):
+        """Guards against sound calls that are refused if they come after the crashes.
+
+        No host has seen their parts before.
+        """
+        await self.check_pause(world, Load(world, "/stream/draft/"))
+
     @with_routes(world_options=FLEET)
     async def test_parts_of_others(self, world):
         """Guards against a caller that gets the parts of others refused.
