Take empty lines for no event, and bound the work of one read

Tiny events and chunks of one byte had the same price by pieces, and all that had arrived was parsed before other tasks ran.

An event now has a byte other than line ends; empty lines count for the bound of the event that they precede. A replica that sends 1 MiB without an event has failed the call, more than 4,096 events in a read break a stream off, and other tasks run after 256 chunks.

--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -16,14 +16,19 @@
 from sassafraskeel.core.types import ResponseHead, StoppableAnswer
 
 EVENT_STREAM = "text/event-stream"
-EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Empty lines alone are no event.
+EVENT_END = re.compile(rb"[^\r\n]\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 MAX_EVENT_BYTES = 1 << 20
 # How often a stream that stalls, and has no other target, looks for one.
 STALL_CHECK_SECONDS = 0.25
 
-# The bytes of an incomplete line end that the end of an event may begin with.
-MAX_LINE_END_BYTES = 3
+# A replica may send this many events at once after a pause; more are no answer, and
+# checking them would keep the host from its other calls.
+MAX_EVENTS_IN_READ = 4096
+
+# The bytes of an incomplete match that the end of an event may begin with.
+MAX_EVENT_END_BYTES = 4
 
 # Returns the events of the stream after an event id; raises Refusal. The error is what
 # broke the stream.
@@ -78,6 +83,7 @@
         self._last_id = last_id
         self._needs_event = needs_event
         self._pending = b""
+        self._ended = False
 
     async def read(self) -> bytes:
         """Return the next complete events, or b"" after the end of the stream."""
@@ -106,18 +112,24 @@
         return self._resume is not None and self._may_resume()
 
     async def _read_events(self) -> bytes | None:
+        if self._ended:
+            return b""
         data = await self._answer.read()
         if not data:
             if self._pending.strip():
                 raise AnswerTruncated("the stream ended within an event")
             if self._needs_event:
                 raise AnswerTruncated("the stream ended before its first event")
-            return b""
+            # Empty lines after the last event belong to the body.
+            self._ended = True
+            return self._pending
         buffered = self._pending + data
         end = 0
         # What was searched before is not searched again for each byte that drips in.
-        searched = max(len(self._pending) - MAX_LINE_END_BYTES, 0)
-        for match in EVENT_END.finditer(buffered, searched):
+        searched = max(len(self._pending) - MAX_EVENT_END_BYTES, 0)
+        for count, match in enumerate(EVENT_END.finditer(buffered, searched)):
+            if count >= MAX_EVENTS_IN_READ:
+                raise ProtocolError("the stream has too many events at once")
             self._check_event_id(buffered[end : match.end()])
             end = match.end()
             self._needs_event = False
--- a/sassafraskeel/calls/stream_reports.py
+++ b/sassafraskeel/calls/stream_reports.py
@@ -1,6 +1,10 @@
 """Reports how the answer of a replica to a stream begins, goes on and ends."""
 
-from sassafraskeel.calls.event_streams import EVENT_END, MAX_LINE_END_BYTES
+from sassafraskeel.calls.event_streams import (
+    EVENT_END,
+    MAX_EVENT_BYTES,
+    MAX_EVENT_END_BYTES,
+)
 from sassafraskeel.calls.placement import (
     SURVIVAL_SECONDS,
     AttemptFailure,
@@ -33,7 +37,8 @@
         self._needs_event = needs_event
         self._clock = clock
         self._began_at: float | None = None
-        # The bytes of a line end that the end of the first event may begin with.
+        self._size = 0
+        # The bytes of a match that the end of the first event may begin with.
         self._tail = b""
 
     @property
@@ -78,10 +83,15 @@
                 await self._attempt.survived()
             return
         buffered = self._tail + data
-        self._tail = buffered[-MAX_LINE_END_BYTES:]
+        self._tail = buffered[-MAX_EVENT_END_BYTES:]
         if EVENT_END.search(buffered):
             self._began_at = now
             await self._attempt.head_received()
+            return
+        too_long = self._size + len(data) > MAX_EVENT_BYTES >= self._size
+        self._size += len(data)
+        if too_long:
+            await self._attempt.failed(AttemptFailure.FAILED)
 
     async def _report_lost_connection(self) -> None:
         if self._began_at is None:
--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import curio
 import h11
 
 from sassafraskeel.core.errors import AnswerTruncated, ProtocolError
@@ -9,6 +10,9 @@
 from sassafraskeel.core.types import Headers, ResponseHead
 
 MAX_HEADER_BYTES = 32 * 1024
+# Chunks that are parsed before other tasks get their turn. Chunks of one byte cost as
+# much as long ones.
+MAX_CHUNKS_IN_TURN = 256
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -55,6 +59,7 @@
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._pending = None
         self._stream_ended = False
+        self._has_more_chunks = False
         self.bytes_received = 0
 
     async def next_event(self):
@@ -82,6 +87,9 @@
 
     async def read_data(self) -> bytes:
         """Return the body data that has arrived, or b"" at the end of the body."""
+        if self._has_more_chunks:
+            self._has_more_chunks = False
+            await curio.sleep(0)
         event = await self.next_event()
         if type(event) is h11.EndOfMessage:
             return b""
@@ -89,6 +97,9 @@
             raise AnswerTruncated("the connection closed within a message")
         parts = [bytes(event.data)]
         while self._pending is None:
+            if len(parts) >= MAX_CHUNKS_IN_TURN:
+                self._has_more_chunks = True
+                break
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError:
