Go on accepting connections after a failure of accept

Cause: any OSError of accept was passed on as the end of the listener, and the accepting task returned. That it takes all four listeners of a host one after the other explains why only a restart helped.

TcpListener now tells a failure (AcceptFailed) from its own close, and all servers log it (event 209) and try again after 0.1 s.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -10,6 +10,7 @@
 from sassafraskeel.calls.answers import SERVED_BY_HEADER
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
+from sassafraskeel.core.accepting import accept_next
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -133,9 +134,8 @@
 
     async def _accept(self, group: SupervisedTaskGroup) -> None:
         while True:
-            try:
-                stream = await self._listener.accept()
-            except ConnectionLost:
+            stream = await accept_next(self._listener, self._clock, self._log)
+            if stream is None:
                 return
             if (
                 self._connection_count
--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -97,6 +97,10 @@
     """A connection could not be opened, or broke while in use."""
 
 
+class AcceptFailed(ConnectionLost):
+    """A listener that is still open could not accept a connection."""
+
+
 class ConnectionClosed(ConnectionLost):
     """The peer closed the connection, and all that it had sent before has arrived."""
 
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -47,6 +47,7 @@
     CALL_ANSWERED = EventSpec(207, Level.INFO, "call of a route finished")
     CALLER_CONNECTION_LOST = EventSpec(208, Level.INFO, "caller connection lost")
     CONNECTION_REFUSED = EventSpec(206, Level.WARNING, "too many connections")
+    ACCEPT_FAILED = EventSpec(209, Level.WARNING, "connection could not be accepted")
     UPSTREAM_DOWN = EventSpec(301, Level.WARNING, "upstream does not report its load")
     UPSTREAM_UP = EventSpec(302, Level.INFO, "upstream reports its load")
     UPSTREAM_LEAVING = EventSpec(
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -8,7 +8,7 @@
 from curio import network, socket, ssl as curio_ssl
 
 from sassafraskeel.core.clock import Clock
-from sassafraskeel.core.errors import ConnectionLost, TimedOut, UserError
+from sassafraskeel.core.errors import AcceptFailed, ConnectionLost, TimedOut, UserError
 
 READ_SIZE_BYTES = 65536
 LISTEN_BACKLOG = 1024
@@ -88,7 +88,11 @@
     address: Address
 
     async def accept(self) -> Stream:
-        """Wait for the next connection; raise ConnectionLost once closed."""
+        """Wait for the next connection.
+
+        Raises ConnectionLost once closed, and AcceptFailed if the next attempt may
+        succeed, as when the process has no descriptor left.
+        """
 
     async def close(self) -> None:
         """Stop listening; closing twice is harmless."""
@@ -160,8 +164,11 @@
         self._accepting_task = await curio.current_task()
         try:
             sock, _ = await self._sock.accept()
-        except (OSError, _ListenerClosed) as exc:
+        except _ListenerClosed as exc:
             raise ConnectionLost(str(exc)) from exc
+        except OSError as exc:
+            error = ConnectionLost if self._closed else AcceptFailed
+            raise error(str(exc)) from exc
         finally:
             self._accepting_task = None
         _set_options(sock)
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -8,9 +8,9 @@
 from sassafraskeel.calls.answers import SERVED_BY_HEADER
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
+from sassafraskeel.core.accepting import accept_next
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
-    ConnectionLost,
     Outcome,
     ProtocolError,
     Refusal,
@@ -116,9 +116,8 @@
     async def _accept(self, group: SupervisedTaskGroup) -> None:
         limit = self._cfg.max_call_connections + MAX_CONTROL_LINKS
         while True:
-            try:
-                stream = await self._listener.accept()
-            except ConnectionLost:
+            stream = await accept_next(self._listener, self._clock, self._log)
+            if stream is None:
                 return
             if self._open_connections >= limit:
                 self._log.emit(
--- a/sassafraskeel/operators/server.py
+++ b/sassafraskeel/operators/server.py
@@ -8,9 +8,9 @@
 import h11
 
 from sassafraskeel.callers.refusals import JSON_HEADER, encode_refusal
+from sassafraskeel.core.accepting import accept_next
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
-    ConnectionLost,
     Reason,
     Refusal,
     SassafraskeelError,
@@ -83,9 +83,8 @@
 
     async def _accept(self, group: SupervisedTaskGroup) -> None:
         while True:
-            try:
-                stream = await self._listener.accept()
-            except ConnectionLost:
+            stream = await accept_next(self._listener, self._clock, self._log)
+            if stream is None:
                 return
             if self._open_connections >= MAX_CONNECTIONS:
                 await stream.close()
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from sassafraskeel.core.errors import ConnectionLost
+from sassafraskeel.core.errors import AcceptFailed, ConnectionLost
 from sassafraskeel.core.net import Address
 
 
@@ -188,8 +188,13 @@
         self.address = address
         self.node = node
         self.queue = curio.Queue()
+        # How many times `accept` fails from now on.
+        self.failures = 0
 
     async def accept(self):
+        if self.failures:
+            self.failures -= 1
+            raise AcceptFailed("too many open files")
         stream = await self.queue.get()
         if stream is None:
             raise ConnectionLost("the listener is closed")
