Register a host again under the lease that was granted first

A host could lose its entry in the store for good, and with it its place in the directory: a registration that got no answer and was executed late put the key under its own lease, which nobody renewed (found by the review).

Cause: after a write without an answer a second lease was granted, and only that one was renewed. The late write moved the key to the first lease, whose end took the key with it; the renewals went on without an error.

A granted lease is now kept until the store says that it has ended, so that all writes of a registration are under one lease.

test_late_registration: the key is gone before, and stays now.

--- a/sassafraskeel/store/registration.py
+++ b/sassafraskeel/store/registration.py
@@ -41,6 +41,8 @@
         self._clock = clock
         self._log = log
         self._lease: Lease | None = None
+        # A lease that was granted; the write under it may still arrive at the store.
+        self._granted: Lease | None = None
         self._revision: StoreRevision | None = None
         self._unregistered = False
         self._restored = curio.Event()
@@ -56,7 +58,7 @@
                 await self._wait()
             except LeaseLost as exc:
                 self._log.emit(Event.LEASE_ENDED, detail=str(exc))
-                self._lease = None
+                self._lease = self._granted = None
             except (PlatformUnavailable, PlatformRefused):
                 # The store follower logs outages of the store.
                 await self._clock.sleep(RETRY_SECONDS)
@@ -91,8 +93,12 @@
         self._restored.clear()
 
     async def _register(self) -> None:
-        lease = await self._store.grant_lease(LEASE_SECONDS)
+        if self._granted is None:
+            self._granted = await self._store.grant_lease(LEASE_SECONDS)
+        lease = self._granted
         key, value = self._codec.encode_host(self._get_host())
+        # A write without an answer may be executed after the next one. Under another
+        # lease, it would take the key with it when its own lease ends.
         revision = await self._store.put(key, value, lease)
         self._lease, self._revision = lease, revision
         if self._unregistered:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -207,6 +207,27 @@
 
 
 class LeaseTest(TestCase):
+    @with_store
+    async def test_late_registration(self, store, client, clock):
+        """Guards against a host that is unlisted by a late write of its own.
+
+        The write had no answer, and was executed after the host had registered again.
+        """
+        registration = build_registration("host-a", store, MemoryNetwork(), clock)
+        registration._store = client
+        store.lose_answers = 1
+        task = await curio.spawn(registration.run)
+        while not store.keys():
+            await clock.sleep(0.1)
+        key, value, lease = "hosts/host-a", b"{}", 1000
+        await clock.sleep(1.0)
+        await store.write(key, value, lease)
+        for _ in range(12):
+            await clock.sleep(1.0)
+            await client.read_all()
+        self.assertEqual(store.keys(), {key})
+        await task.cancel()
+
     @with_registrations
     async def test_stop_unregisters_another_host(self, store, registrations, clock):
         """Guards against a stop that ends a lease given out again to another host."""
