Read limits and pauses of replicas with up to 40 decimals

The format allowed 15 decimals, and most languages print 16 or more for 10/3. 400 digits stay malformed.

test_many_decimals fails before and passes now.

--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -12,7 +12,8 @@
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
-DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+# Languages print up to 28 decimals of a number such as 10/3.
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,40})?")
 
 
 class PlatformReplicaInterface:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -154,6 +154,11 @@
             self.assertEqual(self.read(value), NamedLimit(rate))
         self.assertEqual(self.read(b"2", b"2"), NamedLimit(2.0))
 
+    def test_many_decimals(self):
+        """Guards against a limit that is ignored because it has many decimals."""
+        for value in (b"3.3333333333333335", b"3.333333333333333333333333333"):
+            self.assertEqual(self.read(value), NamedLimit(float(value)))
+
     def test_malformed(self):
         """Guards against numbers that end a host, or that no request can satisfy."""
         for value in (
