Name the evidence of survived calls after what it records

CrashEvidence.answered has recorded survived calls since first events prove nothing; it is now `survived`. RouteCalls._may_leave checks the call first and the targets after. No behaviour changes.

--- a/sassafraskeel/calls/crash_guard.py
+++ b/sassafraskeel/calls/crash_guard.py
@@ -89,7 +89,7 @@
             now = self._clock.monotonic()
             service = target.upstream.service
             suspects = self._suspects(target.features)
-            cleared = self._evidence.answered(service, target.features, now)
+            cleared = self._evidence.survived(service, target.features, now)
             for feature in suspects & cleared:
                 self._log.emit(
                     Event.CRASH_SUSPECT_CLEARED, feature=feature, replica=target.name
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -350,13 +350,12 @@
 
         Without another target it stays, because a sound replica may be silent too.
         """
+        planned_attempts = 0 if target in history.runs.values() else 1
+        if not self._may_retry_possibly_run(call, history, planned_attempts):
+            return False
         left = history.targets_left()
         left.excluded.add(target.name)
-        is_recorded = target in history.runs.values()
-        planned_attempts = 0 if is_recorded else 1
-        return self._may_retry_possibly_run(
-            call, history, planned_attempts
-        ) and self._placement.has_target(call, left)
+        return self._placement.has_target(call, left)
 
     def _may_retry_possibly_run(
         self, call: Call, history: AttemptHistory, planned_attempts: int = 0
@@ -463,6 +462,7 @@
 
 
 def _stall_timeout(policy: RoutePolicy) -> float:
+    """Return the seconds without an event after which a stream stalls."""
     timeout = max(MIN_STALL_TIMEOUT_SECONDS, STALL_TIMEOUT_FACTOR * policy.max_pause)
     longest = MAX_STALL_SHARE * abandon_seconds(policy.objective, policy.max_pause)
     return min(timeout, longest)
--- a/sassafraskeel/decisions/crash_evidence.py
+++ b/sassafraskeel/decisions/crash_evidence.py
@@ -187,7 +187,7 @@
             self._changed(now)
         return crash.features
 
-    def answered(self, service: str, features, now: float) -> frozenset[str]:
+    def survived(self, service: str, features, now: float) -> frozenset[str]:
         """Record that a replica of a service survived a call.
 
         Returns its features that crashes of replicas of the service had been blamed on.
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -103,7 +103,7 @@
         """Guards against a part that sound calls share and that stays refused."""
         self.crash_thrice("first", "deadly")
         self.assertIs(verdict(self.evidence, ("first",), 4.0), Verdict.TRIAL)
-        self.evidence.answered(SERVICE, ("first",), 4.1)
+        self.evidence.survived(SERVICE, ("first",), 4.1)
         self.assertIs(verdict(self.evidence, ("first",), 4.2), Verdict.CLEAR)
         both = ("first", "deadly")
         self.assertIs(verdict(self.evidence, both, 4.2), Verdict.REFUSED)
@@ -111,12 +111,12 @@
     def test_answer_of_another_service(self):
         """Guards against crashes of one service that another service excuses."""
         self.crash_thrice("deadly")
-        self.evidence.answered("other", ("deadly",), 4.0)
+        self.evidence.survived("other", ("deadly",), 4.0)
         self.assertIs(verdict(self.evidence, ("deadly",), 4.0), Verdict.REFUSED)
 
     def test_part_turns_deadly(self):
         """Guards against answers that excuse crashes that come after them."""
-        self.evidence.answered(SERVICE, ("part",), 0.5)
+        self.evidence.survived(SERVICE, ("part",), 0.5)
         self.crash_thrice("part")
         self.assertIs(verdict(self.evidence, ("part",), 4.0), Verdict.REFUSED)
 
@@ -146,19 +146,19 @@
 
     def test_parts_that_were_survived_before(self):
         """Guards against sound calls that are refused for parts of deadly ones."""
-        self.evidence.answered(SERVICE, ("first", "second"), 0.5)
+        self.evidence.survived(SERVICE, ("first", "second"), 0.5)
         self.crash_often("first", "second", "deadly")
         sound = ("first", "second", "own")
         self.assertIs(verdict(self.evidence, sound, 5.1), Verdict.TRIAL)
         deadly = (*sound, "deadly")
         self.assertIs(verdict(self.evidence, deadly, 5.1), Verdict.REFUSED)
-        self.evidence.answered(SERVICE, sound, 5.2)
+        self.evidence.survived(SERVICE, sound, 5.2)
         self.assertIs(verdict(self.evidence, sound, 5.3), Verdict.CLEAR)
         self.assertIs(verdict(self.evidence, deadly, 5.3), Verdict.REFUSED)
 
     def test_survived_part_turns_deadly(self):
         """Guards against a part that is excused for good since it was sound once."""
-        self.evidence.answered(SERVICE, ("part",), 0.5)
+        self.evidence.survived(SERVICE, ("part",), 0.5)
         for number in range(3):
             crash(self.evidence, f"r-{number}", ("part", "new"), 1.0 + number)
         self.assertIs(verdict(self.evidence, ("part",), 4.0), Verdict.TRIAL)
@@ -177,7 +177,7 @@
     def test_bound_of_survived_features(self):
         """Guards against a table that grows with each feature that was survived."""
         for number in range(2 * MAX_SURVIVED):
-            self.evidence.answered(SERVICE, (f"part-{number}",), 1.0)
+            self.evidence.survived(SERVICE, (f"part-{number}",), 1.0)
         self.assertEqual(len(self.evidence._survived_at), MAX_SURVIVED)
 
     def test_one_trial_after_a_long_time(self):
@@ -268,7 +268,7 @@
         for number in range(3):
             crash(first, f"r-{number}", ("part",), 1.0 + number)
         second.merge("host-a", first.table(4.0), 4.0)
-        second.answered(SERVICE, ("part",), 5.0)
+        second.survived(SERVICE, ("part",), 5.0)
         first.merge("host-b", second.table(5.0), 5.0)
         self.assertIs(verdict(first, ("part",), 5.0), Verdict.CLEAR)
 
@@ -374,7 +374,7 @@
             await clock.sleep(60)
             self.assertEqual(len(store.writes), count)
             store.lease_lost = True
-            evidence.answered(SERVICE, ("part-0",), clock.monotonic())
+            evidence.survived(SERVICE, ("part-0",), clock.monotonic())
             await clock.sleep(2)
             self.assertEqual((len(store.writes), store.leases), (count + 1, 2))
             await task.cancel()
@@ -424,7 +424,7 @@
                 crash(evidence, replica, call, self.now)
         else:
             for call in running:
-                evidence.answered(SERVICE, call, self.now)
+                evidence.survived(SERVICE, call, self.now)
 
     @precondition(lambda self: not self.shared)
     @rule()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -362,7 +362,7 @@
         await clock.sleep(2)
         self.assertFalse(world.hosts[1].crashes.is_empty)
         copy = world.store.copy()
-        crashes.answered("desk", ("part",), clock.monotonic())
+        crashes.survived("desk", ("part",), clock.monotonic())
         await clock.sleep(2)
         self.assertTrue(world.hosts[1].crashes.is_empty)
         await world.store.restore(copy)
--- a/tests/test_store_restored_review.py
+++ b/tests/test_store_restored_review.py
@@ -189,6 +189,6 @@
         table = earlier.table(10.0)
         evidence = CrashEvidence("host-0", "2")
         evidence.merge("host-0", table, 11.0)
-        evidence.answered("desk", ("part",), 12.0)
+        evidence.survived("desk", ("part",), 12.0)
         evidence.merge("host-0", table, 13.0)
         self.assertTrue(evidence.is_empty)
