Count a stream as survived after 0.3 s instead of 1.0 s

Cause: since first events prove nothing, a trial lasts until its stream has gone on for a second, and a crash blames all streams of their first second. A deadly part crashes its replica as it begins to answer.

--- a/sassafraskeel/calls/placement.py
+++ b/sassafraskeel/calls/placement.py
@@ -16,8 +16,9 @@
 from sassafraskeel.core.types import Call
 from sassafraskeel.decisions.fleet import Replica
 
-# A replica that a call crashes ends soon after it begins to answer.
-SURVIVAL_SECONDS = 1.0
+# A replica that a call crashes ends soon after it begins to answer. While this time is
+# not over, a suspect keeps the other suspects of its service waiting.
+SURVIVAL_SECONDS = 0.3
 
 # Returns whether a replica with a lost connection has ended.
 HasEnded = Callable[[Replica], Awaitable[bool]]
