Log turns of tasks that keep all others waiting

Cause: with review/3 and its variants a host answers nobody, and neither its logs nor its metrics tell which task had the thread, or whether it was one long turn or many short ones.

Change: a timer, called by curio at each switch of tasks, logs event 110 for a turn over 0.1 s with the task, the connection that it read last and how often it read, and counts such turns in two gauges. It changes no behaviour.

--- a/bench/control.py
+++ b/bench/control.py
@@ -13,6 +13,7 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.host import Environment, Host
 from sassafraskeel.store.key_value import PlatformClient
@@ -149,7 +150,10 @@
         cfg = parse_settings(text, "bench.ini")
         counting = CountingNetwork(network, platform.address)
         store = PlatformClient(cfg.platform, clock, counting)
-        env = Environment(clock, counting, random.Random(number), NullLog(), store)
+        turns = TurnTimer(clock, NullLog())
+        env = Environment(
+            clock, counting, random.Random(number), NullLog(), store, turns
+        )
         node = Host(cfg, env)
         node.placement.slot_usage = loads[domain]
         await node.start()
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -37,6 +37,7 @@
     SETTINGS_READ = EventSpec(107, Level.INFO, "settings read again")
     SETTINGS_REJECTED = EventSpec(108, Level.ERROR, "changed settings are invalid")
     LIBRARY_MESSAGE = EventSpec(109, Level.INFO, "message from a library")
+    LONG_TURN = EventSpec(110, Level.WARNING, "a task kept all others waiting")
     CALL_REFUSED = EventSpec(201, Level.INFO, "call refused")
     CALL_FAILED = EventSpec(202, Level.WARNING, "answer ended with an error")
     CALL_FINISHED = EventSpec(203, Level.DEBUG, "call finished")
--- a/sassafraskeel/core/metrics.py
+++ b/sassafraskeel/core/metrics.py
@@ -48,6 +48,8 @@
     "sheet_version": "Version of the sheet in force.",
     "members_live": "Other hosts that are live.",
     "log_events_dropped": "Log events dropped by the rate limit.",
+    "long_turns": "Turns in which one task kept all others waiting for over 0.1 s.",
+    "longest_turn_seconds": "The longest of these turns since the start.",
 }
 
 
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -7,8 +7,10 @@
 import curio
 from curio import network, socket, ssl as curio_ssl
 
-from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.clock import Clock, SystemClock
 from sassafraskeel.core.errors import AcceptFailed, ConnectionLost, TimedOut, UserError
+from sassafraskeel.core.log import NullLog
+from sassafraskeel.core.turns import TurnTimer
 
 READ_SIZE_BYTES = 65536
 LISTEN_BACKLOG = 1024
@@ -109,13 +111,16 @@
 
 
 class TcpStream:
-    """A TCP or TLS connection."""
+    """A TCP or TLS connection; `peer` names the other end in logs."""
 
-    def __init__(self, sock):
+    def __init__(self, sock, turns: TurnTimer, peer: str):
         self._sock = sock
+        self._turns = turns
+        self._peer = peer
         self._closed = False
 
     async def read(self, max_bytes: int = READ_SIZE_BYTES) -> bytes:
+        self._turns.record_read(self._peer)
         try:
             return await self._sock.recv(max_bytes)
         except OSError as exc:
@@ -151,9 +156,10 @@
 class TcpListener:
     """A listening TCP socket."""
 
-    def __init__(self, sock, context: ssl.SSLContext | None):
+    def __init__(self, sock, context: ssl.SSLContext | None, turns: TurnTimer):
         self._sock = sock
         self._context = context
+        self._turns = turns
         self._closed = False
         self._accepting_task = None
         self.address = Address(*sock.getsockname()[:2])
@@ -161,9 +167,10 @@
     async def accept(self) -> Stream:
         if self._closed:
             raise ConnectionLost("the listener is closed")
+        self._turns.record_read(f"clients of {self.address}")
         self._accepting_task = await curio.current_task()
         try:
-            sock, _ = await self._sock.accept()
+            sock, address = await self._sock.accept()
         except _ListenerClosed as exc:
             raise ConnectionLost(str(exc)) from exc
         except OSError as exc:
@@ -178,7 +185,8 @@
             sock = await curio_ssl.CurioSSLContext(self._context).wrap_socket(
                 sock, server_side=True, do_handshake_on_connect=False
             )
-        return TcpStream(sock)
+        client = f"client {address[0]}:{address[1]} of {self.address}"
+        return TcpStream(sock, self._turns, client)
 
     async def close(self) -> None:
         if not self._closed:
@@ -197,7 +205,10 @@
         self,
         server_context: ssl.SSLContext | None = None,
         client_context: ssl.SSLContext | None = None,
+        turns: TurnTimer | None = None,
     ):
+        # Without the timer of the process, no turn is timed or logged.
+        self._turns = turns or TurnTimer(SystemClock(), NullLog())
         self._server_context = server_context
         self._client_context = client_context
 
@@ -211,7 +222,7 @@
         except OSError as exc:
             raise ConnectionLost(f"{address}: {exc}") from exc
         _set_options(sock)
-        return TcpStream(sock)
+        return TcpStream(sock, self._turns, f"server {address}")
 
     async def listen(self, address: Address) -> Listener:
         try:
@@ -220,7 +231,7 @@
             )
         except OSError as exc:
             raise UserError(f"cannot listen on {address}: {exc}") from exc
-        return TcpListener(sock, self._server_context)
+        return TcpListener(sock, self._server_context, self._turns)
 
 
 def _set_options(sock) -> None:
--- a/sassafraskeel/daemon.py
+++ b/sassafraskeel/daemon.py
@@ -10,6 +10,7 @@
 from sassafraskeel.core.net import TcpNetwork
 from sassafraskeel.core.settings import HostSection, Settings
 from sassafraskeel.core.signals import SignalWaiter
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.host import Environment, Host
 from sassafraskeel.store.key_value import PlatformClient
 
@@ -23,13 +24,16 @@
 def build_host(cfg: Settings) -> Host:
     """Return a host that uses the system clock and TCP."""
     clock = SystemClock()
-    network = TcpNetwork()
+    log = build_log(cfg.host, clock)
+    turns = TurnTimer(clock, log)
+    network = TcpNetwork(turns=turns)
     env = Environment(
         clock=clock,
         network=network,
         rng=random.SystemRandom(),
-        log=build_log(cfg.host, clock),
+        log=log,
         platform=PlatformClient(cfg.platform, clock, network),
+        turns=turns,
     )
     return Host(cfg, env)
 
@@ -59,4 +63,5 @@
 
 def run(cfg: Settings) -> None:
     """Run the gateway process."""
-    curio.run(serve, build_host(cfg))
+    host = build_host(cfg)
+    curio.run(serve, host, activations=[host.turns])
--- a/sassafraskeel/emulators/__main__.py
+++ b/sassafraskeel/emulators/__main__.py
@@ -122,7 +122,8 @@
         cfg = load_settings(self.settings)
         wan, listen = load_wan(self.wan)
         control = WanControl(wan, SystemClock(), listen)
-        curio.run(run_gateway, control, build_host(cfg, wan))
+        host = build_host(cfg, wan)
+        curio.run(run_gateway, control, host, activations=[host.turns])
 
 
 class Emulators(BaseModel):
--- a/sassafraskeel/emulators/gateway.py
+++ b/sassafraskeel/emulators/gateway.py
@@ -7,6 +7,7 @@
 from sassafraskeel.core.clock import Clock, SystemClock
 from sassafraskeel.core.net import TcpNetwork, parse_address
 from sassafraskeel.core.settings import Settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.daemon import build_log
 from sassafraskeel.emulators.http_server import HttpServer, Reply, Request, json_reply
 from sassafraskeel.emulators.network import Wan, WanNetwork
@@ -56,12 +57,15 @@
 def build_host(cfg: Settings, wan: Wan) -> Host:
     """Return a host whose outgoing connections cross the Wan."""
     clock = SystemClock()
-    network = WanNetwork(TcpNetwork(), clock, wan)
+    log = build_log(cfg.host, clock)
+    turns = TurnTimer(clock, log)
+    network = WanNetwork(TcpNetwork(turns=turns), clock, wan)
     env = Environment(
         clock=clock,
         network=network,
         rng=random.SystemRandom(),
-        log=build_log(cfg.host, clock),
+        log=log,
         platform=PlatformClient(cfg.platform, clock, network),
+        turns=turns,
     )
     return Host(cfg, env)
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -22,6 +22,7 @@
 from sassafraskeel.core.net import Address, Network
 from sassafraskeel.core.settings import Settings
 from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.domains import DomainHosts
 from sassafraskeel.decisions.estimates import UpstreamEstimates
@@ -69,6 +70,7 @@
     rng: random.Random
     log: LogSink
     platform: KeyValueStore
+    turns: TurnTimer
 
 
 class Host:
@@ -77,7 +79,7 @@
     def __init__(self, cfg: Settings, env: Environment):
         self.cfg = cfg
         self._env = env
-        self.clock, self.log = env.clock, env.log
+        self.clock, self.log, self.turns = env.clock, env.log, env.turns
         self._group = SupervisedTaskGroup(self._log_failure)
         self._started = False
         local_host = HostInfo(
--- a/sassafraskeel/operators/handlers.py
+++ b/sassafraskeel/operators/handlers.py
@@ -79,6 +79,8 @@
         sheet_version=host.installed.version,
         members_live=len(live),
         log_events_dropped=getattr(host.log, "dropped", 0),
+        long_turns=host.turns.long_turns,
+        longest_turn_seconds=host.turns.longest_seconds,
     )
     return host.metrics.prometheus_text()
 
--- a/sassafraskeel/platform/daemon.py
+++ b/sassafraskeel/platform/daemon.py
@@ -22,6 +22,7 @@
 from sassafraskeel.core.settings import load_settings
 from sassafraskeel.core.signals import SignalWaiter
 from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.platform.callers import (
     DirectoryInterface,
     ReadinessInterface,
@@ -45,11 +46,13 @@
 
 def build_host(cfg: RouteSettings) -> RouteHost:
     """Return a host that uses the system clock and TCP."""
-    clock, network = SystemClock(), TcpNetwork()
+    clock = SystemClock()
     output = NonBlockingOutput(sys.stdout.fileno())
     log = StructuredLog(clock, cfg.host.name, output)
     bounded_log = RateLimitedLog(log, clock, debug=cfg.host.log_level == "debug")
     logging.getLogger().addHandler(LibraryHandler(bounded_log))
+    turns = TurnTimer(clock, bounded_log)
+    network = TcpNetwork(turns=turns)
     env = RouteEnvironment(
         clock=clock,
         network=network,
@@ -59,6 +62,7 @@
         codec=PlatformDocumentCodec(),
         replicas=PlatformReplicaInterface(),
         interfaces=build_interfaces,
+        turns=turns,
     )
     return RouteHost(cfg, env)
 
@@ -101,4 +105,5 @@
     except UserError as exc:
         print(exc, file=sys.stderr)
         sys.exit(2)
-    curio.run(serve, build_host(cfg), path)
+    host = build_host(cfg)
+    curio.run(serve, host, path, activations=[host.turns])
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -21,6 +21,7 @@
 from sassafraskeel.core.net import Network
 from sassafraskeel.core.route_settings import RouteSettings
 from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.core.types import HostInfo
 from sassafraskeel.decisions.call_costs import CallCosts
 from sassafraskeel.decisions.coordination import Coordination
@@ -106,6 +107,7 @@
     codec: DocumentCodec
     replicas: ReplicaInterface
     interfaces: InterfaceFactory
+    turns: TurnTimer
 
 
 class RouteHost:
@@ -114,7 +116,7 @@
     def __init__(self, cfg: RouteSettings, env: RouteEnvironment):
         self.cfg = cfg
         self._env = env
-        self.clock, self.log = env.clock, env.log
+        self.clock, self.log, self.turns = env.clock, env.log, env.turns
         self._group = SupervisedTaskGroup(self._log_failure)
         self._started = False
         local_host = HostInfo(
@@ -518,6 +520,8 @@
             sheet_version=self.fleet.version,
             members_live=self.hosts.count(self.clock.monotonic()) - 1,
             log_events_dropped=getattr(self.log, "dropped", 0),
+            long_turns=self.turns.long_turns,
+            longest_turn_seconds=self.turns.longest_seconds,
         )
         return self.metrics.prometheus_text()
 
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -10,6 +10,7 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.emulators.engine import EngineEmulator, token_at
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.emulators.service import ServiceEmulator
@@ -109,7 +110,8 @@
         network = self.network.for_node(name)
         store = PlatformClient(cfg.platform, self.clock, network)
         rng = random.Random(self._start_count)
-        env = Environment(self.clock, network, rng, NullLog(), store)
+        turns = TurnTimer(self.clock, NullLog())
+        env = Environment(self.clock, network, rng, NullLog(), store, turns)
         self.hosts[name] = Host(cfg, env)
         self.highest_versions[name] = 0
         await self.hosts[name].start()
--- a/tests/support/domain.py
+++ b/tests/support/domain.py
@@ -8,6 +8,7 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.decisions.ownership import owner_and_witness
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.emulators.service import ServiceEmulator
@@ -72,7 +73,8 @@
         network = self.network.for_node(name)
         store = PlatformClient(cfg.platform, self.clock, network)
         rng = random.Random(self._start_count)
-        env = Environment(self.clock, network, rng, NullLog(), store)
+        turns = TurnTimer(self.clock, NullLog())
+        env = Environment(self.clock, network, rng, NullLog(), store, turns)
         self.hosts[name] = Host(cfg, env)
         await self.hosts[name].start()
 
--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -8,6 +8,7 @@
 from sassafraskeel.core.net import Address, parse_address
 from sassafraskeel.core.route_settings import RouteSettings
 from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.emulators.replica import ReplicaEmulator
 from sassafraskeel.emulators.store import StoreEmulator
 from sassafraskeel.platform.daemon import build_interfaces
@@ -141,6 +142,7 @@
             codec=PlatformDocumentCodec(),
             replicas=PlatformReplicaInterface(),
             interfaces=build_interfaces,
+            turns=TurnTimer(self.clock, NullLog()),
         )
         return RouteHost(cfg, env)
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -8,6 +8,7 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.emulators.engine import EngineEmulator
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.emulators.service import ServiceEmulator
@@ -60,7 +61,8 @@
             cfg = parse_settings(text, "test.ini")
             store = PlatformClient(cfg.platform, self.clock, self.network)
             rng = random.Random(number)
-            env = Environment(self.clock, self.network, rng, NullLog(), store)
+            turns = TurnTimer(self.clock, NullLog())
+            env = Environment(self.clock, self.network, rng, NullLog(), store, turns)
             self.hosts.append(Host(cfg, env))
             await self.hosts[-1].start()
         sheet = self.sheet.format(engine=self.engine.address, desk=self.desk.address)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.settings import parse_settings
+from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.emulators.network import Wan, WanNetwork
 from sassafraskeel.emulators.platform import PlatformEmulator
 from sassafraskeel.host import Environment, Host
@@ -98,7 +99,8 @@
         network = WanNetwork(self.network, self.clock, wan)
         store = PlatformClient(cfg.platform, self.clock, network)
         rng = random.Random(self.runs)
-        env = Environment(self.clock, network, rng, NullLog(), store)
+        turns = TurnTimer(self.clock, NullLog())
+        env = Environment(self.clock, network, rng, NullLog(), store, turns)
         host = Host(cfg, env)
         await host.start()
         self.hosts[number] = host
