Let busy connections give way to other tasks

Cause: curio's recv, sendall and accept switch tasks only where they have to wait, and TcpStream handed that on. A task whose data is always ready kept the only thread, and no time limit expired meanwhile, its own included. Whether that happens is a race of two speeds, so that one byte pattern holds on one machine and fails on another.

Change: TCP connections and listeners, under all peers, give way once the turn of their task has lasted 5 ms. A read or an accept does so before it takes anything, so that a cancellation loses no data. A write after another write of the same turn holds a cancellation back until the next operation, because a write that is whole must not raise; the first write of a turn is not delayed, because it may follow a check that holds only now. Frames of other hosts are read 8 KiB at a time, since all frames of a read are parsed in one turn. The close of idle connections looks again at tasks that are ready, which may now only have given way.

--- a/bench/client.py
+++ b/bench/client.py
@@ -7,19 +7,27 @@
 import curio
 import h11
 
+from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.http import HttpConnection, request_events
+from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import TcpNetwork, parse_address
+from sassafraskeel.core.turns import TurnTimer
 from tools.cluster import new_order_id
 
 
 async def main(
-    address: str, path: str, kind: str, connections: str, seconds: str
+    turns: TurnTimer,
+    address: str,
+    path: str,
+    kind: str,
+    connections: str,
+    seconds: str,
 ) -> None:
     """Send calls on `connections` connections for `seconds` and print totals as JSON.
 
     The totals are the calls, the bytes of their bodies and the error statuses.
     """
-    network = TcpNetwork()
+    network = TcpNetwork(turns=turns)
     content = {"messages": [{"role": "user", "content": "x" * 200}]}
     if kind == "stream":
         content["stream"] = True
@@ -54,4 +62,5 @@
 
 
 if __name__ == "__main__":
-    curio.run(main, *sys.argv[1:])
+    turns = TurnTimer(SystemClock(), NullLog())
+    curio.run(main, turns, *sys.argv[1:], activations=[turns])
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -5,9 +5,12 @@
 import curio
 import h11
 
+from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.errors import SassafraskeelError
 from sassafraskeel.core.http import HttpConnection
+from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import TcpNetwork, parse_address
+from sassafraskeel.core.turns import TurnTimer
 
 MAX_BODY_BYTES = 1 << 20
 
@@ -32,9 +35,9 @@
     return True
 
 
-async def main(listen: str, upstream: str) -> None:
+async def main(turns: TurnTimer, listen: str, upstream: str) -> None:
     """Relay each accepted connection over a new connection to an upstream."""
-    network = TcpNetwork()
+    network = TcpNetwork(turns=turns)
     listener = await network.listen(parse_address(listen))
 
     async def serve(stream):
@@ -55,4 +58,5 @@
 
 
 if __name__ == "__main__":
-    curio.run(main, *sys.argv[1:])
+    turns = TurnTimer(SystemClock(), NullLog())
+    curio.run(main, turns, *sys.argv[1:], activations=[turns])
--- a/bench/upstream.py
+++ b/bench/upstream.py
@@ -4,8 +4,11 @@
 
 import curio
 
+from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.errors import ConnectionLost
+from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.net import TcpNetwork, parse_address
+from sassafraskeel.core.turns import TurnTimer
 
 JSON_BODY = b'{"choices": [{"message": {"content": "' + b"word " * 40 + b'"}}]}'
 EVENT = 'data: {"choices": [{"delta": {"content": "deadbeef"}}], "token_index": %d}\n\n'
@@ -62,9 +65,9 @@
     await stream.write(chunk(END_EVENT) + b"0\r\n\r\n")
 
 
-async def main(listen: str, events_per_write: str) -> None:
+async def main(turns: TurnTimer, listen: str, events_per_write: str) -> None:
     """Serve connections until the process is ended."""
-    listener = await TcpNetwork().listen(parse_address(listen))
+    listener = await TcpNetwork(turns=turns).listen(parse_address(listen))
 
     async def handle(stream):
         try:
@@ -79,4 +82,5 @@
 
 
 if __name__ == "__main__":
-    curio.run(main, *sys.argv[1:])
+    turns = TurnTimer(SystemClock(), NullLog())
+    curio.run(main, turns, *sys.argv[1:], activations=[turns])
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -120,11 +120,21 @@
 
     async def close_idle(self) -> None:
         """Close the connections that wait for their next request."""
-        for conn, task in list(self._tasks.items()):
-            # A task that is ready has read bytes of a request. It would be cancelled
-            # at its next blocking operation, in the middle of that call.
-            if conn.idle and task.state != READY_STATE:
-                await task.cancel(blocking=False)
+        unchecked = list(self._tasks.items())
+        while unchecked:
+            ready = []
+            for conn, task in unchecked:
+                if not conn.idle:
+                    continue
+                # A task that is ready may have bytes of a request to read. It would be
+                # cancelled at its next blocking operation, in the middle of that call.
+                if task.state == READY_STATE:
+                    ready.append((conn, task))
+                else:
+                    await task.cancel(blocking=False)
+            unchecked = ready
+            if unchecked:
+                await curio.sleep(0)
 
     async def wait_closed(self) -> None:
         """Wait without a time limit until no connection is open."""
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -13,6 +13,8 @@
 from sassafraskeel.core.turns import TurnTimer
 
 READ_SIZE_BYTES = 65536
+# The longest write between two checks of whether the turn of the task is over.
+WRITE_SLICE_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
 
 # A peer that disappears without a reset is detected after five seconds: two seconds
@@ -117,20 +119,35 @@
         self._sock = sock
         self._turns = turns
         self._peer = peer
+        # The turn of the last write if no read followed it, or -1.
+        self._written_in_turn = -1
         self._closed = False
 
     async def read(self, max_bytes: int = READ_SIZE_BYTES) -> bytes:
+        # A cancellation may be raised here, so nothing may have been read yet.
+        if self._turns.is_over():
+            await self._turns.give_way()
         self._turns.record_read(self._peer)
+        self._written_in_turn = -1
         try:
             return await self._sock.recv(max_bytes)
         except OSError as exc:
             raise ConnectionLost(str(exc)) from exc
 
     async def write(self, data: bytes) -> None:
+        # The first write of a turn is not delayed: it may follow a check that holds
+        # only now. Later ones raise no cancellation that a write alone would not raise.
+        if self._written_in_turn == self._turns.number and self._turns.is_over():
+            await self._turns.give_way_uncancelled()
         try:
-            await self._sock.sendall(data)
+            await self._sock.sendall(data[:WRITE_SLICE_BYTES])
+            for start in range(WRITE_SLICE_BYTES, len(data), WRITE_SLICE_BYTES):
+                if self._turns.is_over():
+                    await self._turns.give_way()
+                await self._sock.sendall(data[start : start + WRITE_SLICE_BYTES])
         except OSError as exc:
             raise ConnectionLost(str(exc)) from exc
+        self._written_in_turn = self._turns.number
 
     async def end_writing(self) -> None:
         try:
@@ -165,6 +182,8 @@
         self.address = Address(*sock.getsockname()[:2])
 
     async def accept(self) -> Stream:
+        if self._turns.is_over():
+            await self._turns.give_way()
         if self._closed:
             raise ConnectionLost("the listener is closed")
         self._turns.record_read(f"clients of {self.address}")
@@ -207,7 +226,7 @@
         client_context: ssl.SSLContext | None = None,
         turns: TurnTimer | None = None,
     ):
-        # Without the timer of the process, no turn is timed or logged.
+        # Without the timer of the process, no turn is logged.
         self._turns = turns or TurnTimer(SystemClock(), NullLog())
         self._server_context = server_context
         self._client_context = client_context
--- a/sassafraskeel/core/turns.py
+++ b/sassafraskeel/core/turns.py
@@ -1,13 +1,22 @@
-"""Turns of tasks: the time for which one task runs while all others wait."""
+"""Turns of tasks: the time for which one task runs while all others wait.
+
+curio switches tasks only where one has to wait. A task whose peer sends faster than the
+task works never waits, so that no other task runs and no time limit expires, its own
+included. Connections therefore give way once the turn of their task is over.
+"""
 
 import math
 
+import curio
 from curio.kernel import Activation
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 
+# A hundred busy connections delay a call by half a second, and a switch of tasks costs
+# about a thousandth of this.
+MAX_TURN_SECONDS = 0.005
 # Heartbeats, leases and deadlines are checked by other tasks, which run this late.
 LONG_TURN_SECONDS = 0.1
 
@@ -15,14 +24,16 @@
 class TurnTimer(Activation):
     """Times the turns of all tasks; curio calls it at each switch of tasks.
 
-    A task keeps its turn until it waits, so a task whose data is always ready may keep
-    it for ever. `number` counts the turns, `long_turns` those over LONG_TURN_SECONDS.
+    `number` counts the turns, `long_turns` those over LONG_TURN_SECONDS. Until curio
+    calls it every turn is over, so that connections give way at each operation.
     """
 
     def __init__(self, clock: Clock, log: LogSink):
         self._clock = clock
         self._log = log
         self._started_at = -math.inf
+        # A cancellation that was held back is raised at the next operation.
+        self._held_back = False
         self._peer = ""
         self._reads = 0
         self.number = 0
@@ -33,6 +44,7 @@
         """Start a turn."""
         self.number += 1
         self._started_at = self._clock.monotonic()
+        self._held_back = False
         self._peer = ""
         self._reads = 0
 
@@ -52,7 +64,23 @@
             reads=self._reads,
         )
 
+    def is_over(self) -> bool:
+        """Return whether the running task should give way to the others."""
+        if self._held_back:
+            return True
+        return self._clock.monotonic() - self._started_at >= MAX_TURN_SECONDS
+
     def record_read(self, peer: str) -> None:
         """Record that the turn reads from, or accepts, a connection of a peer."""
         self._peer = peer
         self._reads += 1
+
+    async def give_way(self) -> None:
+        """Let all other tasks run that are ready; a pending cancellation is raised."""
+        await curio.sleep(0)
+
+    async def give_way_uncancelled(self) -> None:
+        """Let the other tasks run, and leave a cancellation to the next operation."""
+        async with curio.disable_cancellation():
+            await curio.sleep(0)
+        self._held_back = True
--- a/sassafraskeel/gateways/channel.py
+++ b/sassafraskeel/gateways/channel.py
@@ -27,6 +27,9 @@
 WS_PATH = "/gateway"
 # The size limit of a message does not bound the number of its empty fragments.
 MAX_FRAGMENTS = 1024
+# All frames of a read are parsed before other tasks get their turn, and the shortest
+# ones have two bytes.
+FRAMES_READ_BYTES = 8192
 
 
 class Channel:
@@ -134,7 +137,7 @@
             raise ProtocolError("unexpected text frame, messages are binary")
 
     async def _read(self) -> bytes:
-        data = await self._stream.read()
+        data = await self._stream.read(FRAMES_READ_BYTES)
         if not data:
             raise ConnectionClosed("the peer closed the connection")
         return data
--- a/tests/test_gateways_server.py
+++ b/tests/test_gateways_server.py
@@ -8,12 +8,13 @@
 from hypothesis import given, settings, strategies as st
 from websockets.client import ClientProtocol
 from websockets.frames import Frame, Opcode
+from websockets.protocol import State
 from websockets.uri import parse_uri
 
 from sassafraskeel.core.errors import ConnectionLost, ProtocolError, SassafraskeelError
 from sassafraskeel.core.net import Address
 from sassafraskeel.core.types import HostInfo
-from sassafraskeel.gateways.channel import Channel, dial
+from sassafraskeel.gateways.channel import FRAMES_READ_BYTES, Channel, dial
 from sassafraskeel.gateways.codec import (
     MAX_MESSAGE_BYTES,
     MESSAGE_TYPES,
@@ -21,6 +22,8 @@
     encode,
 )
 from sassafraskeel.gateways.messages import Accept, Body, Hello, Offer, Request
+from tests.support.clock import run_virtual
+from tests.support.network import stream_pair
 from tests.test_host import with_world
 
 UNKNOWN_HOST = HostInfo("host-x", "south-a", "1", Address("::1", 1), Address("::1", 2))
@@ -186,6 +189,19 @@
         await world.clock.sleep(3)
         await self.assert_serving(world)
 
+    def test_tiny_frames(self):
+        """Guards against a host that parses thousands of frames in one turn."""
+
+        async def main(clock):
+            near, far = stream_pair()
+            uri = parse_uri("ws://127.0.0.1:1/gateway")
+            channel = Channel(near, ClientProtocol(uri, state=State.OPEN))
+            await far.write(Frame(Opcode.BINARY, b"").serialize(mask=False) * 20_000)
+            await channel._receive_frames()
+            self.assertLessEqual(len(channel._received), FRAMES_READ_BYTES / 2)
+
+        run_virtual(main)
+
     @with_world
     async def test_peer_leaves(self, world):
         """Guards against calls that continue after their connection was closed."""
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -6,7 +6,9 @@
 
 from sassafraskeel.core.errors import ConnectionLost, SassafraskeelError
 from sassafraskeel.core.http_client import connect
-from tests.support.network import deliver
+from sassafraskeel.core.net import READ_SIZE_BYTES
+from sassafraskeel.core.watched_stream import WatchedStream
+from tests.support.network import deliver, stream_pair
 from tests.support.routes import HOST, manifest, with_routes
 from tests.test_route_host import drain_stream, events
 
@@ -43,6 +45,18 @@
     server.close = close_and_deliver
 
 
+class GivingWayStream(WatchedStream):
+    """A stream whose task lets others run before each read."""
+
+    giving_way = False
+
+    async def read(self, max_bytes=READ_SIZE_BYTES):
+        self.giving_way = True
+        await curio.sleep(0)
+        self.giving_way = False
+        return await super().read(max_bytes)
+
+
 class IdleConnectionTest(TestCase):
     @with_routes
     async def test_request_that_arrives_with_the_stop(self, world):
@@ -62,6 +76,21 @@
         self.assertIn(b"HTTP/1.1 200", answer)
         self.assertEqual(world.runs("second"), 1)
 
+    @with_routes
+    async def test_connection_that_gives_way(self, world):
+        """Guards against an idle connection that stays open through a planned stop,
+        because its task gave way to others right when the host closed idle ones.
+        """
+        near, far = stream_pair()
+        stream = GivingWayStream(far)
+        address = world.hosts[0].cfg.listen.callers
+        await world.network.listeners[address].queue.put(stream)
+        while not stream.giving_way:
+            await curio.sleep(0)
+        await world.hosts[0]._caller_server.close_idle()
+        self.assertEqual(await read_for(world.clock, near, 1.0), b"")
+        self.assertTrue(near.has_ended())
+
     @with_routes
     async def test_head_in_two_parts(self, world):
         """Guards against a request whose head is cut off between two segments."""
