Bound the work that one message may cause beside its content

What callers saw: a replica, or one caller, that sends chunk extensions, chunks of one byte or sound short events without end takes up to 24 s of 30 s of a host's processor time. Other calls are served since busy connections give way, but half as many hosts would be left for them.

Cause: bounds counted bytes, of a body, an event or a read. Chunk extensions are in no body, and short chunks and events cost as much as long ones.

Change: each message has an allowance of pieces: chunks and events under 512 bytes, and 256 bytes each that are no content (heads, extensions, trailers); 16,384 at once and 2,000 a second for an answer, 4,096 and 1,000 for a request. Beyond it the call breaks off, the connection is closed and the replica has failed; a request gets 400. A malformed stream of events is reported by the stream itself, in place of a second count of its bytes in StreamReporter. HttpConnection, connect and request_once take the clock. What a peer sends after its call is over is dropped slowly after 1 MiB.

Ruled out: a limit of pieces for a connection, since a kept connection carries thousands of sound messages, and one without a rate, since a long stream of a slow model has as many events as a short flood.

--- a/bench/client.py
+++ b/bench/client.py
@@ -27,7 +27,7 @@
 
     The totals are the calls, the bytes of their bodies and the error statuses.
     """
-    network = TcpNetwork(turns=turns)
+    clock, network = SystemClock(), TcpNetwork(turns=turns)
     content = {"messages": [{"role": "user", "content": "x" * 200}]}
     if kind == "stream":
         content["stream"] = True
@@ -45,7 +45,7 @@
 
     async def run_connection():
         stream = await network.connect(parse_address(address))
-        http = HttpConnection(stream, h11.CLIENT)
+        http = HttpConnection(stream, h11.CLIENT, clock)
         while time.monotonic() < expires:
             await http.send(*request())
             response = await http.next_event()
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -37,13 +37,13 @@
 
 async def main(turns: TurnTimer, listen: str, upstream: str) -> None:
     """Relay each accepted connection over a new connection to an upstream."""
-    network = TcpNetwork(turns=turns)
+    clock, network = SystemClock(), TcpNetwork(turns=turns)
     listener = await network.listen(parse_address(listen))
 
     async def serve(stream):
-        client_http = HttpConnection(stream, h11.SERVER)
+        client_http = HttpConnection(stream, h11.SERVER, clock)
         upstream_stream = await network.connect(parse_address(upstream))
-        upstream_http = HttpConnection(upstream_stream, h11.CLIENT)
+        upstream_http = HttpConnection(upstream_stream, h11.CLIENT, clock)
         try:
             while await relay_request(client_http, upstream_http):
                 pass
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -56,9 +56,9 @@
 class CallerConnection:
     """A connection of a caller, with the method and id of its current request."""
 
-    def __init__(self, accepted: Stream):
+    def __init__(self, accepted: Stream, clock: Clock):
         self.stream = WatchedStream(accepted)
-        self.http = HttpConnection(self.stream, h11.SERVER)
+        self.http = HttpConnection(self.stream, h11.SERVER, clock)
         self.method = b""
         self.idle = False
         self.call_id = ""
@@ -157,7 +157,7 @@
             await group.spawn(self._handle_connection, stream)
 
     async def _handle_connection(self, accepted: Stream) -> None:
-        conn = CallerConnection(accepted)
+        conn = CallerConnection(accepted, self._clock)
         self._tasks[conn] = await curio.current_task()
         try:
             if self._connection_count > self._max_connections:
--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     AnswerTruncated,
     ProtocolError,
@@ -14,6 +15,7 @@
 )
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.types import ResponseHead, StoppableAnswer
+from sassafraskeel.core.work_limits import ANSWER_WORK, WorkLimit, count_pieces
 
 EVENT_STREAM = "text/event-stream"
 # Empty lines alone are no event.
@@ -41,6 +43,9 @@
 
     stall_timeout: float | None
 
+    async def record_malformed(self) -> None:
+        """Record that the data read so far is no stream of events."""
+
     def record_progress(self) -> None:
         """Record that the data read so far is progress."""
 
@@ -66,6 +71,7 @@
     def __init__(
         self,
         answer: StoppableAnswer,
+        clock: Clock,
         resume: Resume | None,
         may_resume: MayResume = lambda: True,
         stalling: StallingAnswer | None = None,
@@ -77,6 +83,8 @@
         headers = [pair for pair in answer.head.headers if pair[0] != b"content-length"]
         self.head = ResponseHead(answer.head.status, tuple(headers))
         self._answer = answer
+        self._clock = clock
+        self._work_limit = WorkLimit(ANSWER_WORK, clock.monotonic())
         self._resume = resume
         self._may_resume = may_resume
         self._stalling = stalling
@@ -91,6 +99,8 @@
             try:
                 events = await self._read_events()
             except SassafraskeelError as exc:
+                if isinstance(exc, ProtocolError) and self._stalling is not None:
+                    await self._stalling.record_malformed()
                 if isinstance(exc, UpstreamStalled) and not self._is_resumable():
                     self._stalling.wait_longer(STALL_CHECK_SECONDS)
                     continue
@@ -127,12 +137,17 @@
         end = 0
         # What was searched before is not searched again for each byte that drips in.
         searched = max(len(self._pending) - MAX_EVENT_END_BYTES, 0)
-        for count, match in enumerate(EVENT_END.finditer(buffered, searched)):
+        count = 0
+        for match in EVENT_END.finditer(buffered, searched):
             if count >= MAX_EVENTS_IN_READ:
                 raise ProtocolError("the stream has too many events at once")
+            count += 1
             self._check_event_id(buffered[end : match.end()])
             end = match.end()
             self._needs_event = False
+        pieces = count_pieces(count, end)
+        if not self._work_limit.spend(pieces, self._clock.monotonic()):
+            raise ProtocolError("the stream has too many short events")
         if end and self._stalling is not None:
             self._stalling.record_progress()
         self._pending = buffered[end:]
@@ -155,6 +170,7 @@
         await self._answer.stop()
         # The next answer checks by itself whether it needs an event.
         self._pending, self._stalling, self._needs_event = b"", None, False
+        self._work_limit = WorkLimit(ANSWER_WORK, self._clock.monotonic())
         try:
             self._answer = await self._resume(self._last_id, exc)
         except Refusal as refusal:
--- a/sassafraskeel/calls/model_streams.py
+++ b/sassafraskeel/calls/model_streams.py
@@ -18,6 +18,7 @@
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import Answer, Call, CallKind, HostInfo
+from sassafraskeel.core.work_limits import ANSWER_WORK, WorkLimit, count_pieces
 from sassafraskeel.decisions.residency import check_residency
 from sassafraskeel.sheets.model import Sheet, Upstream
 
@@ -68,9 +69,13 @@
     a token index are forwarded only before the first interruption.
     """
 
-    def __init__(self, answer: Answer, resume: Resume, first_token_index: int = 0):
+    def __init__(
+        self, answer: Answer, clock: Clock, resume: Resume, first_token_index: int = 0
+    ):
         self.head = answer.head
         self._answer = answer
+        self._clock = clock
+        self._work_limit = WorkLimit(ANSWER_WORK, clock.monotonic())
         self._resume = resume
         self._pending = b""
         self._next_token = first_token_index
@@ -105,6 +110,9 @@
         *events, self._pending = (self._pending + data).split(EVENT_END)
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ProtocolError("an event of the stream is too long")
+        pieces = count_pieces(len(events), sum(map(len, events)))
+        if not self._work_limit.spend(pieces, self._clock.monotonic()):
+            raise ProtocolError("the stream has too many short events")
         parts = []
         for event in events:
             if not self._is_expected(event):
@@ -152,6 +160,7 @@
             self._resumes += 1
             try:
                 self._answer = await self._resume(self._next_token)
+                self._work_limit = WorkLimit(ANSWER_WORK, self._clock.monotonic())
                 return b""
             except Refusal as refusal:
                 exc = refusal
@@ -215,7 +224,7 @@
         async def resume(token: int) -> Answer:
             return await self._resume(call, body, token, model, attempted)
 
-        return ModelStream(answer, resume, first_token_index(body))
+        return ModelStream(answer, self._clock, resume, first_token_index(body))
 
     async def _resume(self, call, body, token, model, attempted) -> Answer:
         if call.expires <= self._clock.monotonic():
@@ -311,7 +320,7 @@
             )
             return await _require_stream(answer, other.name)
 
-        return ModelStream(answer, resume, first_token_index(body))
+        return ModelStream(answer, self._clock, resume, first_token_index(body))
 
 
 def first_token_index(body: bytes) -> int:
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -253,7 +253,7 @@
 
         if is_event_stream(answer.head) and answer.head.status < 300:
             stream = EventStream(
-                answer, self._resumer.resume_function(call, body, history)
+                answer, self._clock, self._resumer.resume_function(call, body, history)
             )
             return ReleasingAnswer(stream, (), release)
         buffered = await buffer_answer(target.name, call, answer)
@@ -334,7 +334,12 @@
         needs_event = answer.is_close_delimited and not call.resume_after
         reporter = StreamReporter(answer, attempt, needs_event, self._clock)
         stream = EventStream(
-            reporter, resume, may_resume, reporter, needs_event=needs_event
+            reporter,
+            self._clock,
+            resume,
+            may_resume,
+            reporter,
+            needs_event=needs_event,
         )
         return ReleasingAnswer(stream, (), release)
 
--- a/sassafraskeel/calls/stream_reports.py
+++ b/sassafraskeel/calls/stream_reports.py
@@ -1,17 +1,13 @@
 """Reports how the answer of a replica to a stream begins, goes on and ends."""
 
-from sassafraskeel.calls.event_streams import (
-    EVENT_END,
-    MAX_EVENT_BYTES,
-    MAX_EVENT_END_BYTES,
-)
+from sassafraskeel.calls.event_streams import EVENT_END, MAX_EVENT_END_BYTES
 from sassafraskeel.calls.placement import (
     SURVIVAL_SECONDS,
     AttemptFailure,
     PlacedAttempt,
 )
 from sassafraskeel.core.clock import Clock
-from sassafraskeel.core.errors import AnswerTruncated, ConnectionLost
+from sassafraskeel.core.errors import AnswerTruncated, ConnectionLost, ProtocolError
 from sassafraskeel.upstreams.replicas import ReplicaAnswer
 
 
@@ -37,7 +33,6 @@
         self._needs_event = needs_event
         self._clock = clock
         self._began_at: float | None = None
-        self._size = 0
         # The bytes of a match that the end of the first event may begin with.
         self._tail = b""
 
@@ -58,11 +53,18 @@
         """Let `read` fail some seconds from now if there is no progress."""
         self._answer.wait_longer(seconds)
 
+    async def record_malformed(self) -> None:
+        """Record that the data read so far is no stream of events."""
+        await self._attempt.failed(AttemptFailure.FAILED)
+
     async def read(self) -> bytes:
         try:
             data = await self._answer.read()
-        except (AnswerTruncated, ConnectionLost):
-            await self._report_lost_connection()
+        except (AnswerTruncated, ConnectionLost) as exc:
+            if isinstance(exc.__cause__, ProtocolError):
+                await self.record_malformed()
+            else:
+                await self._report_lost_connection()
             raise
         if data:
             await self._report_data(data)
@@ -87,11 +89,6 @@
         if EVENT_END.search(buffered):
             self._began_at = now
             await self._attempt.head_received()
-            return
-        too_long = self._size + len(data) > MAX_EVENT_BYTES >= self._size
-        self._size += len(data)
-        if too_long:
-            await self._attempt.failed(AttemptFailure.FAILED)
 
     async def _report_lost_connection(self) -> None:
         if self._began_at is None:
--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -5,9 +5,17 @@
 import curio
 import h11
 
+from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import AnswerTruncated, ProtocolError
 from sassafraskeel.core.net import Stream
 from sassafraskeel.core.types import Headers, ResponseHead
+from sassafraskeel.core.work_limits import (
+    ANSWER_WORK,
+    REQUEST_WORK,
+    WorkLimit,
+    count_overhead,
+    count_pieces,
+)
 
 MAX_HEADER_BYTES = 32 * 1024
 # Chunks that are parsed before other tasks get their turn. Chunks of one byte cost as
@@ -54,13 +62,18 @@
 class HttpConnection:
     """An HTTP connection: the h11 state machine and the underlying stream."""
 
-    def __init__(self, stream: Stream, role):
+    def __init__(self, stream: Stream, role, clock: Clock):
         self.stream = stream
+        self._clock = clock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._pending = None
         self._stream_ended = False
         self._has_more_chunks = False
         self.bytes_received = 0
+        # Bytes received that are neither content nor counted as overhead yet.
+        self._uncounted_bytes = 0
+        self._work_rate = REQUEST_WORK if role is h11.SERVER else ANSWER_WORK
+        self._work_limit = WorkLimit(self._work_rate, clock.monotonic())
 
     async def next_event(self):
         """Return the next h11 event.
@@ -79,10 +92,14 @@
                     raise AnswerTruncated(str(exc)) from exc
                 raise ProtocolError(str(exc)) from exc
             if event is not h11.NEED_DATA:
+                if type(event) is h11.Request or type(event) is h11.Response:
+                    self._start_counting()
                 return event
+            self._count_overhead()
             data = await self.stream.read()
             self._stream_ended = not data
             self.bytes_received += len(data)
+            self._uncounted_bytes += len(data)
             self.h11.receive_data(data)
 
     async def read_data(self) -> bytes:
@@ -110,7 +127,24 @@
                 break
             else:
                 self._pending = event
-        return b"".join(parts)
+        data = b"".join(parts)
+        self._uncounted_bytes -= len(data)
+        self._spend(count_pieces(len(parts), len(data)))
+        return data
+
+    def _start_counting(self) -> None:
+        """Start the count of a message; what follows its head may have arrived."""
+        self._uncounted_bytes = 0
+        self._work_limit = WorkLimit(self._work_rate, self._clock.monotonic())
+
+    def _count_overhead(self) -> None:
+        if self._uncounted_bytes > 0:
+            overhead, self._uncounted_bytes = self._uncounted_bytes, 0
+            self._spend(count_overhead(overhead))
+
+    def _spend(self, pieces: float) -> None:
+        if not self._work_limit.spend(pieces, self._clock.monotonic()):
+            raise ProtocolError("too many short chunks, or bytes that are no content")
 
     async def send(self, *events) -> None:
         """Send events in a single write; raise ConnectionLost or ProtocolError."""
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -33,14 +33,13 @@
     or None if the server did not send the time.
     """
 
-    def __init__(self, address: Address, stream, now: float):
+    def __init__(self, address: Address, stream, clock: Clock):
         self.address = address
-        self.opened_at = now
-        self.used_at = now
+        self.opened_at = self.used_at = clock.monotonic()
         self.keep_alive_seconds: float | None = None
         # Whether the end of the connection ends the current answer.
         self.is_close_delimited = False
-        self._http = HttpConnection(stream, h11.CLIENT)
+        self._http = HttpConnection(stream, h11.CLIENT, clock)
         self._method = ""
         self._bytes_before_request = 0
 
@@ -146,13 +145,14 @@
             )
 
 
-async def connect(network: Network, address: Address, now: float) -> ClientConnection:
+async def connect(network: Network, address: Address, clock: Clock) -> ClientConnection:
     """Open a client connection; raise ConnectionLost."""
-    return ClientConnection(address, await network.connect(address), now)
+    return ClientConnection(address, await network.connect(address), clock)
 
 
 async def request_once(
     network: Network,
+    clock: Clock,
     address: Address,
     method: str,
     target: str,
@@ -165,7 +165,7 @@
     Raise ConnectionLost, AnswerTruncated, or ProtocolError if the answer is malformed
     or its body is longer than `max_bytes`.
     """
-    conn = await connect(network, address, 0.0)
+    conn = await connect(network, address, clock)
     try:
         await conn.send(method, target, headers, body)
         head = await conn.receive_head()
--- a/sassafraskeel/core/http_requests.py
+++ b/sassafraskeel/core/http_requests.py
@@ -20,6 +20,7 @@
     not_run_refusal,
 )
 from sassafraskeel.core.http import MAX_HEADER_BYTES, HttpConnection, find_header
+from sassafraskeel.core.net import drop_data
 from sassafraskeel.core.watched_stream import WatchedStream
 
 END_OF_HEAD = b"\r\n\r\n"
@@ -116,11 +117,9 @@
         h11.CLOSED,
     ):
         return
-    size = 0
     try:
         async with clock.timeout(LINGER_SECONDS):
-            while size < MAX_LINGER_BYTES and (data := await stream.read()):
-                size += len(data)
+            await drop_data(stream, clock, MAX_LINGER_BYTES)
     except (TimedOut, ConnectionLost):
         return  # The client had time to read the answer, or has disconnected.
 
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -1,5 +1,6 @@
 """Interfaces for byte streams, and their implementation with TCP and TLS."""
 
+import math
 import ssl
 import struct
 from typing import NamedTuple, Protocol
@@ -15,6 +16,10 @@
 READ_SIZE_BYTES = 65536
 # The longest write between two checks of whether the turn of the task is over.
 WRITE_SLICE_BYTES = 256 * 1024
+# What may be in transit when a peer is told to stop. After it each read is followed by
+# a pause, since of a peer that goes on only the close matters.
+FAST_DROP_BYTES = 1024 * 1024
+DROP_PAUSE_SECONDS = 0.001
 LISTEN_BACKLOG = 1024
 
 # A peer that disappears without a reset is detected after five seconds: two seconds
@@ -69,6 +74,18 @@
         """Close the connection so that the peer does not take it for a clean end."""
 
 
+async def drop_data(stream: Stream, clock: Clock, max_bytes: float) -> None:
+    """Read and drop what a peer sends until it closes, or until some bytes were read.
+
+    Raise ConnectionLost.
+    """
+    size = 0
+    while size < max_bytes and (data := await stream.read()):
+        size += len(data)
+        if size > FAST_DROP_BYTES:
+            await clock.sleep(DROP_PAUSE_SECONDS)
+
+
 async def wait_for_close(stream: Stream, clock: Clock, seconds: float) -> bool:
     """End our side of a connection, and wait until the peer has closed its own.
 
@@ -77,8 +94,7 @@
     try:
         async with clock.timeout(seconds):
             await stream.end_writing()
-            while await stream.read():
-                pass
+            await drop_data(stream, clock, math.inf)
     except TimedOut:
         return False
     except ConnectionLost:
--- a/sassafraskeel/emulators/http_server.py
+++ b/sassafraskeel/emulators/http_server.py
@@ -116,7 +116,7 @@
             await self._group.spawn(self._serve_connection, stream)
 
     async def _serve_connection(self, stream):
-        http = HttpConnection(FaultyStream(stream), h11.SERVER)
+        http = HttpConnection(FaultyStream(stream), h11.SERVER, self._clock)
         try:
             while await self._serve_request(http):
                 http.h11.start_next_cycle()
--- a/sassafraskeel/loadgen/runner.py
+++ b/sassafraskeel/loadgen/runner.py
@@ -100,6 +100,7 @@
         await self._clock.sleep(CLIENT_DELAY_SECONDS)
         answer = await request_once(
             self._network,
+            self._clock,
             address,
             request.method,
             request.path,
@@ -138,7 +139,9 @@
         ):
             try:
                 async with self._clock.timeout(DIRECTORY_TIMEOUT_SECONDS):
-                    head, data = await request_once(self._network, address, "GET", path)
+                    head, data = await request_once(
+                        self._network, self._clock, address, "GET", path
+                    )
             except SassafraskeelError:
                 continue  # Try the next entry host.
             if head.status == 200:
--- a/sassafraskeel/operators/client.py
+++ b/sassafraskeel/operators/client.py
@@ -52,6 +52,7 @@
         async with self._clock.timeout(TIMEOUT_SECONDS):
             head, data = await request_once(
                 self._network,
+                self._clock,
                 address,
                 method,
                 path,
--- a/sassafraskeel/operators/server.py
+++ b/sassafraskeel/operators/server.py
@@ -94,7 +94,7 @@
 
     async def _handle_connection(self, accepted: Stream) -> None:
         stream = WatchedStream(accepted)
-        http = HttpConnection(stream, h11.SERVER)
+        http = HttpConnection(stream, h11.SERVER, self._clock)
         try:
             while await self._serve_request(http, stream):
                 http.h11.start_next_cycle()
--- a/sassafraskeel/operators/sheet_actions.py
+++ b/sassafraskeel/operators/sheet_actions.py
@@ -109,7 +109,7 @@
 async def _fetch_sheet_version(network, clock, address) -> int | None:
     try:
         async with clock.timeout(HEALTH_TIMEOUT_SECONDS):
-            _, data = await request_once(network, address, "GET", "/health")
+            _, data = await request_once(network, clock, address, "GET", "/health")
         return int(json.loads(data)["sheet_version"])
     except (SassafraskeelError, ValueError, KeyError, TypeError):
         return None  # The host is listed as not answering.
--- a/sassafraskeel/platform/store_client.py
+++ b/sassafraskeel/platform/store_client.py
@@ -191,7 +191,7 @@
             await conn.close()
             conn = self._idle_connections.pop() if self._idle_connections else None
         if conn is None:
-            conn = await connect(self._network, self._address, self._clock.monotonic())
+            conn = await connect(self._network, self._address, self._clock)
         complete = False
         try:
             headers = JSON_HEADERS if data else ()
--- a/sassafraskeel/store/key_value.py
+++ b/sassafraskeel/store/key_value.py
@@ -149,6 +149,7 @@
             async with self._clock.timeout(seconds):
                 head, data = await request_once(
                     self._network,
+                    self._clock,
                     self._cfg.address,
                     method,
                     path,
--- a/sassafraskeel/upstreams/attempt.py
+++ b/sassafraskeel/upstreams/attempt.py
@@ -136,6 +136,7 @@
             async with self._clock.timeout(timeout):
                 head, body = await request_once(
                     self._network,
+                    self._clock,
                     self.upstream.address,
                     "GET",
                     f"/progress?attempt={self._id}",
--- a/sassafraskeel/upstreams/cold_start_probes.py
+++ b/sassafraskeel/upstreams/cold_start_probes.py
@@ -94,6 +94,7 @@
             async with self._clock.timeout(PROBE_TIMEOUT_SECONDS):
                 head, _ = await request_once(
                     self._network,
+                    self._clock,
                     replica.address,
                     "GET",
                     service.health_path,
--- a/sassafraskeel/upstreams/control.py
+++ b/sassafraskeel/upstreams/control.py
@@ -168,7 +168,7 @@
         name = command.upstream.name
         async with self._clock.timeout(MAX_SEND_SECONDS):
             address = command.upstream.address
-            conn = await connect(self._network, address, self._clock.monotonic())
+            conn = await connect(self._network, address, self._clock)
         try:
             # The lease may have run out while the connection was opened, so it is
             # checked right before the command is sent.
@@ -211,7 +211,7 @@
         try:
             async with self._clock.timeout(MAX_SEND_SECONDS):
                 head, body = await request_once(
-                    self._network, upstream.address, "GET", CONTROL_PATH
+                    self._network, self._clock, upstream.address, "GET", CONTROL_PATH
                 )
             content = json.loads(body)
             return EngineState(str(content["model"]), content["ready"] is True)
--- a/sassafraskeel/upstreams/pool.py
+++ b/sassafraskeel/upstreams/pool.py
@@ -44,7 +44,7 @@
     async def open(self, address: Address) -> ClientConnection:
         """Return a new connection; raise ConnectionLost or TimedOut."""
         async with self._clock.timeout(self._cfg.connect_timeout.total_seconds()):
-            return await connect(self._network, address, self._clock.monotonic())
+            return await connect(self._network, address, self._clock)
 
     async def release(self, conn: ClientConnection) -> None:
         """Keep a connection after a complete answer, or close it if it is unusable."""
--- a/sassafraskeel/upstreams/reports.py
+++ b/sassafraskeel/upstreams/reports.py
@@ -188,6 +188,7 @@
         async with self._clock.timeout(timeout):
             head, body = await request_once(
                 self._network,
+                self._clock,
                 upstream.address,
                 "GET",
                 "/load",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -102,7 +102,7 @@
         if self._conn is None:
             self._host = self._rng.choice(list(self._hosts))
             address = self._hosts[self._host]
-            self._conn = await connect(self._network, address, 0.0)
+            self._conn = await connect(self._network, address, self._clock)
         return self._conn
 
     def _headers(self, call_id: str):
--- a/soak/run.py
+++ b/soak/run.py
@@ -360,7 +360,7 @@
         try:
             async with self._clock.timeout(REQUEST_TIMEOUT_SECONDS):
                 return await request_once(
-                    self._network, target, method, path, body=body
+                    self._network, self._clock, target, method, path, body=body
                 )
         except SassafraskeelError:
             return None, b""
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -139,7 +139,13 @@
         try:
             async with self.clock.timeout(CALL_SECONDS):
                 head, data = await request_once(
-                    network, host.callers_address, method, path, headers, body
+                    network,
+                    self.clock,
+                    host.callers_address,
+                    method,
+                    path,
+                    headers,
+                    body,
                 )
         except SassafraskeelError as exc:
             return Outcome(kind, "broken", str(exc))
--- a/tests/support/domain.py
+++ b/tests/support/domain.py
@@ -139,6 +139,7 @@
             async with self.clock.timeout(CALL_SECONDS):
                 head, data = await request_once(
                     self.network.for_node("caller"),
+                    self.clock,
                     address,
                     "POST",
                     path,
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -67,6 +67,9 @@
             self.open -= 1
             await stream.close()
 
+    async def sleep(self, seconds):
+        await self._clock.sleep(seconds)
+
     async def write_forever(self, stream, data, pause=0.001):
         """Write the same bytes again and again until the caller closes."""
         while True:
--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -156,7 +156,14 @@
             await component.close()
 
     async def call(
-        self, path, method="GET", host=0, call_id="c-1", deadline_ms=5000, headers=()
+        self,
+        path,
+        method="GET",
+        host=0,
+        call_id="c-1",
+        deadline_ms=5000,
+        headers=(),
+        max_bytes=1 << 20,
     ):
         """Send a call on a new connection and return the answer's head and body."""
         fields = (
@@ -166,14 +173,22 @@
             *headers,
         )
         address = self.hosts[host].cfg.listen.callers
-        return await request_once(self.network, address, method, path, fields)
+        return await request_once(
+            self.network,
+            self.clock,
+            address,
+            method,
+            path,
+            fields,
+            max_bytes=max_bytes,
+        )
 
     async def open_call(
         self, path, method="POST", host=0, call_id="c-1", deadline_ms=5000
     ):
         """Send a call and return its connection before the answer is read."""
         address = self.hosts[host].cfg.listen.callers
-        conn = await connect(self.network, address, 0.0)
+        conn = await connect(self.network, address, self.clock)
         fields = (
             (b"host", HOST.encode()),
             (b"x-sassafraskeel-request-id", call_id.encode()),
@@ -198,15 +213,15 @@
     async def ready(self, host=0):
         """Return the HTTP status of a host's readiness check."""
         address = self.hosts[host].cfg.listen.readiness
-        return (await request_once(self.network, address, "GET", "/api/ready"))[
-            0
-        ].status
+        return (
+            await request_once(self.network, self.clock, address, "GET", "/api/ready")
+        )[0].status
 
     async def directory(self, host=0, region="north"):
         """Return the addresses in a host's directory for callers of a region."""
         address = self.hosts[host].cfg.listen.directory
         path = f"/api/resolve?name={HOST}&region={region}&zone={region}-a"
-        _, body = await request_once(self.network, address, "GET", path)
+        _, body = await request_once(self.network, self.clock, address, "GET", path)
         return [parse_address(text) for text in json.loads(body)["addresses"]]
 
     def runs(self, call_id="c-1"):
--- a/tests/test_close_delimited.py
+++ b/tests/test_close_delimited.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.errors import ConnectionLost
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.http_client import connect
@@ -281,7 +282,7 @@
             network = TcpNetwork()
             listener = await network.listen(ANY_PORT)
             server = await curio.spawn(serve, listener)
-            client = await connect(network, listener.address, 0.0)
+            client = await connect(network, listener.address, SystemClock())
             try:
                 await client.send("GET", "/read/1", (), b"")
                 await client.receive_head(allow_close_delimited=True)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -6,6 +6,7 @@
 from hypothesis import given, strategies as st
 
 from sassafraskeel.calls.event_streams import EventStream
+from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.errors import (
     AnswerTruncated,
     ConnectionLost,
@@ -77,7 +78,7 @@
             return answer(int(last_id or 0))
 
         async def main():
-            return await read_all(EventStream(answer(0), resume))
+            return await read_all(EventStream(answer(0), SystemClock(), resume))
 
         self.assertEqual(curio.run(main), WHOLE)
 
@@ -85,7 +86,9 @@
         """Guards against an incomplete event that is forwarded."""
 
         async def main():
-            stream = EventStream(ScriptedAnswer([EVENTS[0] + b"id: 2\nda"]), None)
+            stream = EventStream(
+                ScriptedAnswer([EVENTS[0] + b"id: 2\nda"]), SystemClock(), None
+            )
             got = await stream.read()
             with self.assertRaises(AnswerTruncated):
                 await stream.read()
@@ -97,7 +100,9 @@
         """Guards against a replica that restarts the stream from its first event."""
 
         async def main():
-            stream = EventStream(ScriptedAnswer([EVENTS[1], EVENTS[0]]), None)
+            stream = EventStream(
+                ScriptedAnswer([EVENTS[1], EVENTS[0]]), SystemClock(), None
+            )
             await stream.read()
             with self.assertRaises(ProtocolError):
                 await stream.read()
@@ -114,7 +119,7 @@
             return ScriptedAnswer(EVENTS[1:])
 
         async def main():
-            return await read_all(EventStream(first, resume))
+            return await read_all(EventStream(first, SystemClock(), resume))
 
         self.assertEqual(curio.run(main), WHOLE)
         self.assertEqual(seen, [True])
@@ -126,7 +131,9 @@
             raise not_run_refusal(Reason.NO_UPSTREAM)
 
         async def main():
-            stream = EventStream(ScriptedAnswer([EVENTS[0]], fails=True), resume)
+            stream = EventStream(
+                ScriptedAnswer([EVENTS[0]], fails=True), SystemClock(), resume
+            )
             await stream.read()
             with self.assertRaises(SassafraskeelError):
                 await stream.read()
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -75,7 +75,9 @@
 
     async def call(self, host, method, path, headers=(), body=b""):
         address = self.hosts[host].callers_address
-        return await request_once(self.network, address, method, path, headers, body)
+        return await request_once(
+            self.network, self.clock, address, method, path, headers, body
+        )
 
 
 def with_world(test):
--- a/tests/test_model_streams.py
+++ b/tests/test_model_streams.py
@@ -10,6 +10,7 @@
     ResumingHostClient,
     ResumingUpstreamClient,
 )
+from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.errors import AnswerTruncated
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.types import CallKind, HostInfo, ResponseHead
@@ -85,7 +86,7 @@
                 async def resume(number):
                     return second
 
-                stream = ModelStream(first, resume)
+                stream = ModelStream(first, SystemClock(), resume)
                 data = b""
                 while part := await stream.read():
                     data += part
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -250,7 +250,7 @@
             await conn.close()
 
     async def open(self, world, host, call_id):
-        conn = await connect(world.network, host.cfg.listen.callers, 0.0)
+        conn = await connect(world.network, host.cfg.listen.callers, world.clock)
         fields = (
             (b"host", HOST.encode()),
             (b"x-sassafraskeel-request-id", call_id.encode()),
--- a/tests/test_route_changes.py
+++ b/tests/test_route_changes.py
@@ -206,7 +206,7 @@
         await host.start()
         address = host.cfg.listen.directory
         path = "/api/resolve?name=app.example&region=north&zone=north-a"
-        head, _ = await request_once(world.network, address, "GET", path)
+        head, _ = await request_once(world.network, world.clock, address, "GET", path)
         self.assertEqual(head.status, 503)
 
 
@@ -295,5 +295,7 @@
         """Guards against a metrics address that serves no metrics."""
         await world.call("/read/stock")
         address = world.hosts[0].cfg.listen.metrics
-        _, body = await request_once(world.network, address, "GET", "/metrics")
+        _, body = await request_once(
+            world.network, world.clock, address, "GET", "/metrics"
+        )
         self.assertIn(b"sassafraskeel_calls", body)
--- a/tests/test_sheet_hosts.py
+++ b/tests/test_sheet_hosts.py
@@ -255,6 +255,7 @@
     async with world.clock.timeout(CALL_TIMEOUT_SECONDS):
         head, data = await request_once(
             world.network.for_node(f"callers-{domain_of(host)}"),
+            world.clock,
             address,
             method,
             path,
--- a/tests/test_stop_details.py
+++ b/tests/test_stop_details.py
@@ -262,12 +262,12 @@
         async def main(clock):
             left, right = stream_pair()
             stream = WatchedStream(right)
-            http = HttpConnection(stream, h11.SERVER)
+            http = HttpConnection(stream, h11.SERVER, clock)
             await left.write(b"GET / HTTP/1.1\r\n")
             self.assertTrue(await wait_for_request(http, stream, LateClock(), 1.0))
             left, right = stream_pair()
             stream = WatchedStream(right)
-            http = HttpConnection(stream, h11.SERVER)
+            http = HttpConnection(stream, h11.SERVER, clock)
             await left.close()
             self.assertFalse(await wait_for_request(http, stream, LateClock(), 1.0))
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -170,7 +170,7 @@
 
     def test_chunked_body(self):
         async def receive(stream, sock, turns):
-            http = HttpConnection(stream, h11.CLIENT)
+            http = HttpConnection(stream, h11.CLIENT, SystemClock())
             await http.send(*request_events("GET", "/", ((b"host", b"a"),), b""))
             await http.next_event()
             while await http.read_data():
