--- a/bench/processes.py
+++ b/bench/processes.py
@@ -56,8 +56,10 @@
         self._processes.append(process)
         return process
 
-    def start_gateway(self, upstream: str) -> tuple[subprocess.Popen, str]:
-        """Start a platform and a gateway host in front of an upstream.
+    def start_gateway(
+        self, upstream: str, sheet: str = SHEET
+    ) -> tuple[subprocess.Popen, str]:
+        """Start a platform and a gateway host in front of an upstream of a sheet.
 
         Return the process and the callers' address of the gateway when it is ready.
         """
@@ -77,7 +79,7 @@
         process = self.start("sassafraskeel", "serve", str(settings))
         wait_until(lambda: request_json("GET", callers, "/health"))
         wait_until(lambda: request_json("GET", platform, "/hosts") is not None)
-        accept_sheet_text(platform, SHEET.format(upstream=upstream))
+        accept_sheet_text(platform, sheet.format(upstream=upstream))
         query = "workspace=shop&service=chat"
         wait_until(lambda: request_json("GET", callers, f"/v1/directory?{query}"))
         content = {"messages": [{"role": "user", "content": "ready?"}]}
--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -20,7 +20,7 @@
 MAX_HEADER_BYTES = 32 * 1024
 # Chunks that are parsed before other tasks get their turn. Chunks of one byte cost as
 # much as long ones.
-MAX_CHUNKS_IN_TURN = 256
+MAX_CHUNKS_IN_TURN = 64
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
--- a/sassafraskeel/core/turns.py
+++ b/sassafraskeel/core/turns.py
@@ -14,9 +14,9 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 
-# A hundred busy connections delay a call by half a second, and a switch of tasks costs
-# about a thousandth of this.
-MAX_TURN_SECONDS = 0.005
+# A call waits for each busy connection at each of its some ten switches. A switch of
+# tasks costs about a hundredth of this.
+MAX_TURN_SECONDS = 0.002
 # Heartbeats, leases and deadlines are checked by other tasks, which run this late.
 LONG_TURN_SECONDS = 0.1
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -22,7 +22,7 @@
 from tests.test_log import ListLog
 
 # The time that each operation of a ReadySocket takes on the clock of the turns.
-OPERATION_SECONDS = 0.001
+OPERATION_SECONDS = MAX_TURN_SECONDS / 5
 OPERATIONS_IN_TURN = round(MAX_TURN_SECONDS / OPERATION_SECONDS) + 1
 # A task that does not give way ends here instead of keeping the test for ever.
 MAX_OPERATIONS = 500_000
