--- a/sassafraskeel/core/turns.py
+++ b/sassafraskeel/core/turns.py
@@ -14,8 +14,8 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 
-# A call waits for each busy connection at each of its some ten switches. A switch of
-# tasks costs about a hundredth of this.
+# The tasks of a call are switched about ten times, and wait for each busy connection
+# each time. A switch costs about a hundredth of this.
 MAX_TURN_SECONDS = 0.002
 # Heartbeats, leases and deadlines are checked by other tasks, which run this late.
 LONG_TURN_SECONDS = 0.1
@@ -32,7 +32,7 @@
         self._clock = clock
         self._log = log
         self._started_at = -math.inf
-        # A cancellation that was held back is raised at the next operation.
+        # Whether a cancellation may wait that must be raised at the next operation.
         self._held_back = False
         self._peer = ""
         self._reads = 0
