Keep what peers say of replicas until the store has been read

Change: the manifest of a peer is announced together with what the store lists, and one that arrives while the store is being read for the first time is left to the next question. The order in which both are installed is the same.

Result: tests.test_request_limits, test_limit_heard_before_the_store_is_read, fails before.

--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -81,6 +81,8 @@
         self._on_restore = on_restore
         self.manifest_document = b""
         self._revision = UNREAD
+        # Whether what the store listed at the first read has been applied.
+        self._has_read = False
         self._unlisted_hosts: set[str] = set()
         self._hosts_kept_until = float("-inf")
         self._unavailable = False
@@ -115,10 +117,11 @@
         self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
+        has_installed = False
         if not self._fleet.version and batch.revision.era != NO_ERA:
             # The store may have been restored to an older manifest than peers have.
             document = await self._manifests.ask(self._listed_hosts(batch))
-            await self.apply_document(document)
+            has_installed = self._install_document(document)
         replicas, hosts, zones, crash_tables = set(), set(), set(), set()
         for change in batch.changes:
             update = self._apply(change, now, just_written=False)
@@ -140,8 +143,9 @@
         self._expire(batch.revision, now)
         if self._hosts.local_host.name not in crash_tables:
             self._crashes.table_removed(self._hosts.local_host.name)
+        self._has_read = True
         await self.feed.reset(batch.revision)
-        if batch.changes:
+        if batch.changes or has_installed:
             await self._on_change()
 
     async def _watch(self) -> None:
@@ -203,17 +207,22 @@
     async def apply_document(self, document: bytes, peer: str = "") -> None:
         """Apply the manifest of another host, unless it is older or malformed.
 
-        Without the replicas of the store, a host with a manifest could not serve.
+        Without the replicas of the store, a host with a manifest could not serve, and
+        would take all replicas that other hosts told it of for gone.
         """
-        if not document or self._revision == UNREAD:
-            return
+        if self._has_read and self._install_document(document, peer):
+            await self._on_change()
+
+    def _install_document(self, document: bytes, peer: str = "") -> bool:
+        """Return whether the manifest of another host is now in force."""
+        if not document:
+            return False
         try:
             manifest = self._codec.decode_manifest(document)
         except MalformedDocument as exc:
             self._log.emit(Event.DOCUMENT_REJECTED, peer=peer, detail=str(exc))
-            return
-        if self._install(manifest, document, self._revision, source="peer"):
-            await self._on_change()
+            return False
+        return self._install(manifest, document, self._revision, source="peer")
 
     def _install(self, manifest, document, revision, source="store") -> bool:
         if not self._fleet.accept(manifest):
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -270,6 +270,26 @@
             replica = host.fleet.get(limited.name)
             self.assertEqual(host._routing_state.statements.rate(replica), 2.0)
 
+    @with_routes(world_options=FLEET)
+    async def test_limit_heard_before_the_store_is_read(self, world):
+        """Guards against a limit that a starting host hears and drops again.
+
+        soak --first 606: a host that was started again heard a limit from its peer,
+        got the manifest of the peer before the replicas of the store, took the replica
+        for gone, and as coordinator sent it eleven requests in 0.3 s.
+        """
+        host = world.build_host(6, "north-a")
+        world.hosts.append(host)
+        await host.start()
+        limited = world.hosts[0].fleet.get(world.replicas[0].name)
+        statement = Statement(limited.started_at_ms, 2.0, world.clock.monotonic())
+        statements = host._routing_state.statements
+        self.assertIsNone(host.fleet.get(limited.name))
+        statements.relayed(limited.name, statement, world.clock.monotonic())
+        while host.fleet.get(limited.name) is None:
+            await world.clock.sleep(0.01)
+        self.assertEqual(statements.rate(limited), 2.0)
+
     @with_routes(world_options=FLEET)
     async def test_limit_of_another_replica(self, world):
         """Guards against a limit or a load of whoever answers at a used address."""
