Log rejections of replicas with their connection

The log could not tell whether the rejection of a call came over a connection on which the same call had been sent before, nor whether it named the call. Event 328 has the number of the connection, the requests before on it and whether the answer had the id of the call. It is written for rejections only.

--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -30,11 +30,14 @@
     """A client connection; `opened_at` and `used_at` are monotonic seconds.
 
     `keep_alive_seconds` is how long the server keeps the connection open when idle,
-    or None if the server did not send the time.
+    or None if the server did not send the time. `number` is that of the pool that
+    opened the connection, and `request_count` counts the requests sent so far.
     """
 
     def __init__(self, address: Address, stream, clock: Clock):
         self.address = address
+        self.number = 0
+        self.request_count = 0
         self.opened_at = self.used_at = clock.monotonic()
         self.keep_alive_seconds: float | None = None
         # Whether the end of the connection ends the current answer.
@@ -53,6 +56,7 @@
     ) -> None:
         """Send a request in a single write."""
         self._method = method
+        self.request_count += 1
         self._bytes_before_request = self._http.bytes_received
         if not find_header(headers, b"host"):
             headers = (*headers, (b"host", str(self.address).encode()))
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -47,6 +47,7 @@
             raise ProtocolError("a successful answer lacks the replica's signature")
         return ReplicaHead(
             head=head,
+            named=bool(request_id),
             executed=not (misdirected or not_executed),
             misdirected=misdirected,
             requests=_parse_request_count(find_header(head.headers, wire.REPLICA_LOAD)),
--- a/sassafraskeel/upstreams/pool.py
+++ b/sassafraskeel/upstreams/pool.py
@@ -1,5 +1,6 @@
 """A pool of connections to upstreams."""
 
+import itertools
 import math
 from collections import deque
 
@@ -22,6 +23,7 @@
         self._clock = clock
         self._network = network
         self._idle: dict[Address, deque[ClientConnection]] = {}
+        self._numbers = itertools.count(1)
 
     async def take(
         self, address: Address, max_idle: float | None = None
@@ -44,7 +46,9 @@
     async def open(self, address: Address) -> ClientConnection:
         """Return a new connection; raise ConnectionLost or TimedOut."""
         async with self._clock.timeout(self._cfg.connect_timeout.total_seconds()):
-            return await connect(self._network, address, self._clock)
+            conn = await connect(self._network, address, self._clock)
+        conn.number = next(self._numbers)
+        return conn
 
     async def release(self, conn: ClientConnection) -> None:
         """Keep a connection after a complete answer, or close it if it is unusable."""
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -44,8 +44,9 @@
 class ReplicaHead(NamedTuple):
     """The head of a replica's answer and the state that it reports.
 
-    `executed` is False if the replica states that it did not run the call, and
-    `misdirected` is True if the address now belongs to another replica. `requests`
+    `named` is True if it has the id of the call. `executed` is False if the replica
+    states that it did not run the call, and `misdirected` is True if the address now
+    belongs to another replica. `requests`
     counts the requests that the replica runs and queues. `cold_seconds` are the
     seconds for which the replica stays cold. `limit`, `leaving`, whether the replica
     leaves, and `pause_seconds`, the seconds for which it wants no requests of the local
@@ -53,6 +54,7 @@
     """
 
     head: ResponseHead
+    named: bool
     executed: bool
     misdirected: bool
     requests: int | None
@@ -263,6 +265,15 @@
         )
         if replica_head.executed:
             return replica_answer
+        self._log.emit(
+            Event.CALL_REJECTED,
+            call=call.call_id,
+            to=replica.name,
+            status=head.status,
+            connection=conn.number,
+            earlier=conn.request_count - 1,
+            named=replica_head.named,
+        )
         await self._read_rejection(replica, call, replica_answer)
         reason = (
             Reason.NO_UPSTREAM if replica_head.misdirected else Reason.UPSTREAM_REFUSED
