--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -8,13 +8,15 @@
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 
 REQUEST_ID_PATTERN = re.compile(rb"x-sassafraskeel-request-id: (\S+)", re.IGNORECASE)
+EXPECTED_PATTERN = re.compile(rb"expect-instance: (\S+)", re.IGNORECASE)
 LAST_EVENT_ID_PATTERN = re.compile(rb"last-event-id: (\d+)", re.IGNORECASE)
 
 
 class RawServer:
     """Reads request heads and passes each to `answer(server, stream, request_id)`.
 
-    `resumed_after` is the id of the last event in the latest request, 0 without one.
+    `resumed_after` is the id of the last event in the latest request, 0 without one,
+    `path` its path, and `expected` the name of the replica that it expects.
     `written` counts the bytes of endless answers, `open` the open connections.
     """
 
@@ -26,6 +28,7 @@
         self._tasks = SupervisedTaskGroup(lambda exc: None)
         self.listener = None
         self.resumed_after = 0
+        self.path = self.expected = ""
         self.written = 0
         self.open = 0
 
@@ -59,6 +62,9 @@
                 head, _, received = received.partition(b"\r\n\r\n")
                 match = LAST_EVENT_ID_PATTERN.search(head)
                 self.resumed_after = int(match[1]) if match else 0
+                self.path = head.split(b" ", 2)[1].decode()
+                match = EXPECTED_PATTERN.search(head)
+                self.expected = match[1].decode() if match else ""
                 match = REQUEST_ID_PATTERN.search(head)
                 await self._answer(self, stream, match[1] if match else b"")
         except ConnectionLost:
