Send no call twice over one connection to a replica

Callers saw that an order ran twice. A replica refuses an order, for instance under the name of a former replica of its address; its connection goes back to the pool, and the same order goes to the new name of the address over the connection that was used last. A late copy of the first refusal has the id of the order and was read as the answer to the second sending: the host took the order for not run and sent it elsewhere while it ran. Resumed streams were sent again over the same connection after each refusal.

Connections remember the calls that they carried, and the pool hands out another one for the same call. After 128 calls a connection is not kept, which bounds that memory. An answer with the id of a call is thus the answer to the only sending of this call on its connection.

--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -32,12 +32,14 @@
     `keep_alive_seconds` is how long the server keeps the connection open when idle,
     or None if the server did not send the time. `number` is that of the pool that
     opened the connection, and `request_count` counts the requests sent so far.
+    `call_ids` are the calls that were sent over it, if its user records them.
     """
 
     def __init__(self, address: Address, stream, clock: Clock):
         self.address = address
         self.number = 0
         self.request_count = 0
+        self.call_ids: set[str] = set()
         self.opened_at = self.used_at = clock.monotonic()
         self.keep_alive_seconds: float | None = None
         # Whether the end of the connection ends the current answer.
--- a/sassafraskeel/upstreams/pool.py
+++ b/sassafraskeel/upstreams/pool.py
@@ -13,6 +13,8 @@
 # upstream closes the connection at the end of that time, and its close may be in
 # transit when the next call is sent.
 KEEP_ALIVE_FRACTION = 0.7
+# Bounds the memory for the ids of the calls that a connection carried.
+MAX_CALLS_PER_CONNECTION = 128
 
 
 class ConnectionPool:
@@ -26,21 +28,29 @@
         self._numbers = itertools.count(1)
 
     async def take(
-        self, address: Address, max_idle: float | None = None
+        self, address: Address, max_idle: float | None = None, call_id: str = ""
     ) -> ClientConnection | None:
         """Return an idle connection on which nothing has arrived, or None.
 
-        `max_idle` further bounds the idle time of the connection, in seconds.
+        `max_idle` further bounds the idle time of the connection, in seconds. A
+        connection that carried the call `call_id` before is not returned: a late copy
+        of the first answer could not be told from the next one.
         """
+        while (conn := self._remove_latest(address, max_idle, call_id)) is not None:
+            if self._is_fresh(conn) and await conn.is_open_and_idle(self._clock):
+                return conn
+            await conn.close()
+        return None
+
+    def _remove_latest(self, address, max_idle, call_id) -> ClientConnection | None:
         idle = self._idle.get(address, ())
-        while idle:
-            conn = idle[-1]
+        for index in reversed(range(len(idle))):
+            conn = idle[index]
             if max_idle is not None and not self._is_fresh(conn, max_idle):
                 return None  # The other connections have been idle for longer.
-            idle.pop()
-            if self._is_fresh(conn) and await conn.is_open_and_idle(self._clock):
+            if call_id not in conn.call_ids:
+                del idle[index]
                 return conn
-            await conn.close()
         return None
 
     async def open(self, address: Address) -> ClientConnection:
@@ -55,7 +65,11 @@
         idle = self._idle.setdefault(conn.address, deque())
         while idle and not self._is_fresh(idle[0]):
             await idle.popleft().close()
-        if conn.prepare_for_reuse() and len(idle) < self._cfg.pool_size:
+        has_room = (
+            len(idle) < self._cfg.pool_size
+            and len(conn.call_ids) < MAX_CALLS_PER_CONNECTION
+        )
+        if conn.prepare_for_reuse() and has_room:
             conn.used_at = self._clock.monotonic()
             idle.append(conn)
         else:
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -238,6 +238,7 @@
             self._observer.on_data_expected(replica)
         try:
             check()
+            conn.call_ids.add(call.call_id)
             sent_at = self._clock.monotonic()
             head = await self._exchange(replica, conn, call, body, head_timeout)
             replica_head = self._interface.read_head(call, head)
@@ -284,7 +285,7 @@
         max_idle = (
             None if call.route_policy.repeatable else MAX_IDLE_UNREPEATABLE_SECONDS
         )
-        conn = await self._pool.take(replica.address, max_idle)
+        conn = await self._pool.take(replica.address, max_idle, call.call_id)
         if conn is not None:
             return conn
         try:
