Trust a rejection without an id only as the first answer on its connection

Callers saw that an order ran twice. A replica may reject a request before it has read its id, so a rejection without one was taken as the answer to the call under way. On a connection in use before, it may be a late copy of what an earlier request was told: the order ran, and was sent elsewhere as not run.

Such a rejection now counts only if the call is the first request on its connection. Elsewhere the outcome of the call is unknown.

--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -33,22 +33,23 @@
             headers.append((wire.LAST_EVENT_ID, call.resume_after.encode()))
         return tuple(headers)
 
-    def read_head(self, call: Call, head: ResponseHead) -> ReplicaHead:
+    def read_head(self, call: Call, head: ResponseHead, is_first: bool) -> ReplicaHead:
         misdirected = head.status == MISDIRECTED_STATUS
         not_executed = bool(find_header(head.headers, wire.NOT_EXECUTED))
         request_id = find_header(head.headers, wire.REQUEST_ID)
-        # A replica may reject a request before it has read the request id.
-        if request_id != call.call_id and (
-            request_id or not (misdirected or not_executed)
-        ):
-            raise ProtocolError("the answer belongs to another request")
+        # A replica may reject a request before it has read the request id. On a
+        # connection in use before, the rejection may be that of an earlier request.
+        is_rejection = misdirected or not_executed
+        is_unnamed_rejection = not request_id and is_rejection and is_first
+        if request_id != call.call_id and not is_unnamed_rejection:
+            raise ProtocolError("the answer may belong to another request")
         signed = bool(find_header(head.headers, wire.RESPONSE_SIGNATURE))
         if head.status < 300 and not signed:
             raise ProtocolError("a successful answer lacks the replica's signature")
         return ReplicaHead(
             head=head,
             named=bool(request_id),
-            executed=not (misdirected or not_executed),
+            executed=not is_rejection,
             misdirected=misdirected,
             requests=_parse_request_count(find_header(head.headers, wire.REPLICA_LOAD)),
             cold_seconds=_parse_cold_seconds(head),
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -83,8 +83,11 @@
     ) -> Headers:
         """Return the headers of a request with its `remaining` time in seconds."""
 
-    def read_head(self, call: Call, head: ResponseHead) -> ReplicaHead:
-        """Decode a head; raise ProtocolError if it belongs to another call."""
+    def read_head(self, call: Call, head: ResponseHead, is_first: bool) -> ReplicaHead:
+        """Decode a head; raise ProtocolError if it may belong to another request.
+
+        `is_first` is whether no request was sent on the connection before the call.
+        """
 
     def read_health(self, head: ResponseHead) -> ReplicaHealth:
         """Decode the head of an answer to a health check."""
@@ -241,7 +244,9 @@
             conn.call_ids.add(call.call_id)
             sent_at = self._clock.monotonic()
             head = await self._exchange(replica, conn, call, body, head_timeout)
-            replica_head = self._interface.read_head(call, head)
+            replica_head = self._interface.read_head(
+                call, head, is_first=conn.request_count == 1
+            )
         except BaseException as exc:
             if is_head_expected:
                 self._observer.on_call_finished(replica)
