Send no order over a connection on which its poll was rejected

On the own interface an order goes over a new connection that has just carried a poll, whatever the status of the poll's answer. A late copy of a rejection of the poll (429 or X-Not-Run) would be taken for the answer to the order, which then runs elsewhere too. An upstream that rejects the poll now refuses the order as not run, before anything of it is sent. Other calls were not affected: a connection is closed after a rejection.

--- a/sassafraskeel/upstreams/client.py
+++ b/sassafraskeel/upstreams/client.py
@@ -153,9 +153,12 @@
         try:
             async with self._clock.timeout(self._cfg.connect_timeout.total_seconds()):
                 await conn.send("GET", PROBE_PATH, (), b"")
-                await conn.receive_head()
+                head = await conn.receive_head()
                 while await conn.receive_data():
                     pass
+            if _is_not_run(head):
+                # A late copy of the rejection would pass for that of the order.
+                raise ConnectionLost("the upstream rejected the poll")
             if not conn.prepare_for_reuse():
                 raise ConnectionLost("the upstream closed the connection")
         except BaseException as exc:
@@ -203,7 +206,7 @@
             raise unknown_outcome_refusal(
                 Reason.UPSTREAM_FAILED, f"{name}: {exc}"
             ) from exc
-        if head.status == 429 or find_header(head.headers, NOT_RUN_HEADER) == "1":
+        if _is_not_run(head):
             raise not_run_refusal(Reason.UPSTREAM_REFUSED, name, 1.0)
         return head
 
@@ -216,3 +219,8 @@
         if probe.health is not Health.ALIVE:
             return False
         return report is None or report.instance == probe.instance
+
+
+def _is_not_run(head: ResponseHead) -> bool:
+    """Return whether an upstream states that it did not run a request."""
+    return head.status == 429 or find_header(head.headers, NOT_RUN_HEADER) == "1"
