Read the software version of replicas and what resumed streams name

An entry without a usable version gets one that equals no other, because nothing says what its replica writes. Nothing decides by the version yet.

--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -83,6 +83,10 @@
     after it was sent to a replica, but not after `needed_until`, a time of the local
     monotonic clock. `run_seconds` is finite only if the forwarding host can continue
     the call elsewhere after a cut.
+
+    A call that takes up a stream names in `resumes` the attempt of its caller that
+    brought the first event. It may run only at replicas with its `software_version`,
+    or at any if that is empty.
     """
 
     call_id: str
@@ -103,6 +107,8 @@
     queue_deadline: float = math.inf
     needed_until: float = math.inf
     run_seconds: float = math.inf
+    resumes: str = ""
+    software_version: str = ""
 
 
 def is_cancelled_with_caller(call: Call) -> bool:
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -23,7 +23,8 @@
     `started_at_ms` is the start of the run in Unix milliseconds, and `sequence` rises
     with each entry of a run; 0 and UNKNOWN_SEQUENCE stand for unknown. `cold_until` and
     `terminates_at` are in monotonic seconds; `terminates_at` is set when the platform
-    reclaims the replica at short notice.
+    reclaims the replica at short notice. `software_version` equals no other one if the
+    entry names none.
     """
 
     name: str
@@ -36,6 +37,7 @@
     cold_until: float = 0.0
     terminates_at: float | None = None
     sequence: int = UNKNOWN_SEQUENCE
+    software_version: str = ""
 
 
 class Fleet:
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -50,7 +50,7 @@
     whether the replica leaves. Unless `retry_after` is empty, refusals have it as their
     Retry-After, and health checks are refused too while `refuse` is not 0.
     `name` is the instance id of the replica; requests that expect another instance are
-    answered with 421.
+    answered with 421. `version` is the version of its software in its entry.
     """
 
     def __init__(
@@ -62,6 +62,7 @@
         self.name = name
         self.zone = zone
         self.slots = 8
+        self.version = "v1"
         self.delay = 0.02
         self.event_count = 5
         self.refuse = 0
@@ -110,7 +111,7 @@
             "service": service,
             "address": str(self.address),
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "coldRemainingMs": self.cold_ms,
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -111,6 +111,7 @@
             priority=route.priority,
             route_policy=_build_route_policy(route, table.manifest.version, headers),
             resume_after=find_header(headers, wire.LAST_EVENT_ID),
+            resumes=find_header(headers, wire.RESUMES),
         )
 
     def refusal_answer(
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -46,6 +46,9 @@
 # Larger numbers are not exact in JSON (RFC 8259, section 6).
 MAX_NUMBER = 2**53
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Begins the versions that stand for entries without a usable one.
+UNVERSIONED_PREFIX = "\0"
+MAX_VERSION_LENGTH = 200
 
 
 class PlatformDocumentCodec:
@@ -155,9 +158,25 @@
         cold_until=now + cold_ms / 1000 if cold_ms > 0 else 0.0,
         terminates_at=None if remaining_ms is None else now + remaining_ms / 1000,
         sequence=int(sequence),
+        software_version=_decode_version(content, name, int(started_at_ms)),
     )
 
 
+def _decode_version(content: dict, name: str, started_at_ms: int) -> str:
+    """Return the version of a replica's software.
+
+    A replica whose entry names none gets a version that equals no other.
+    """
+    version = content.get("version")
+    if (
+        isinstance(version, str)
+        and 0 < len(version) <= MAX_VERSION_LENGTH
+        and not version.startswith(UNVERSIONED_PREFIX)
+    ):
+        return version
+    return f"{UNVERSIONED_PREFIX}{name}/{started_at_ms}"
+
+
 def decode_host(value: bytes) -> HostInfo:
     """Decode the registration of a host; raise MalformedDocument."""
     try:
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -24,6 +24,8 @@
 # 1 while the replica leaves.
 LEAVING = b"server-leaving"
 LAST_EVENT_ID = b"last-event-id"
+# The request id of the attempt that brought the first event of a resumed stream.
+RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
 # How often the store was restored from a copy; it is in all answers of the store.
 STORE_ERA = b"store-era"
