Let emulated replicas copy refusals and start again under another id

A replica sends such a copy right after it has begun the next request of the connection, if that one arrives within a second. A variant of the copy lacks the id. A replica also starts again as another boot, with another id, version or start time; the ledger tells which boot ran a request.

--- a/sassafraskeel/emulators/http_server.py
+++ b/sassafraskeel/emulators/http_server.py
@@ -17,6 +17,9 @@
 from sassafraskeel.emulators.faults import Faults, FaultyStream
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# An answer too many comes where the next answer on its connection is due, if the next
+# request arrives within this time.
+MAX_EXTRA_DELAY_SECONDS = 1.0
 FAULTLESS_PATHS = frozenset(
     ("/load", "/faults", "/control", "/progress", "/cache-events", "/ledger")
 )
@@ -43,13 +46,15 @@
 class Reply(NamedTuple):
     """An answer; `body` is bytes or an iterator of chunks.
 
-    `close_unanswered` closes the connection instead of answering.
+    `close_unanswered` closes the connection instead of answering. `extra` is an answer
+    too many: it is sent before the next answer on the connection.
     """
 
     status: int = 200
     body: bytes | AsyncIterator[bytes] = b""
     headers: Headers = ((b"content-type", b"application/json"),)
     close_unanswered: bool = False
+    extra: "Reply | None" = None
 
 
 def json_reply(content, status: int = 200, headers: Headers = ()) -> Reply:
@@ -117,32 +122,46 @@
 
     async def _serve_connection(self, stream):
         http = HttpConnection(FaultyStream(stream), h11.SERVER, self._clock)
+        extra, expires = None, 0.0
         try:
-            while await self._serve_request(http):
+            while (request := await self._read_request(http)) is not None:
+                if self._clock.monotonic() > expires:
+                    extra = None
+                reply = await self._serve_request(http, request, extra)
+                if reply is None or http.h11.our_state is not h11.DONE:
+                    return
+                extra = reply.extra
+                expires = self._clock.monotonic() + MAX_EXTRA_DELAY_SECONDS
                 http.h11.start_next_cycle()
         except SassafraskeelError:
             return
         finally:
             await http.close()
 
-    async def _serve_request(self, http) -> bool:
+    async def _read_request(self, http) -> Request | None:
         event = await http.next_event()
         if type(event) is not h11.Request:
-            return False
+            return None
         body = await http.read_body(MAX_BODY_BYTES)
         target = urlsplit(event.target.decode())
-        request = Request(
+        return Request(
             event.method.decode(),
             target.path,
             dict(parse_qsl(target.query)),
             tuple(event.headers),
             body or b"",
         )
+
+    async def _serve_request(self, http, request, extra) -> Reply | None:
+        """Send an answer too many, if any, and the answer to a request.
+
+        Return None if the connection must close unanswered.
+        """
         watcher = await self._group.spawn(
             self._cancel_on_close, http, await curio.current_task()
         )
         try:
-            return await self._handle_request(http, request)
+            return await self._handle_request(http, request, extra)
         finally:
             await watcher.cancel()
 
@@ -152,16 +171,28 @@
         if not data:
             await task.cancel(blocking=False)
 
-    async def _handle_request(self, http, request) -> bool:
+    async def _handle_request(self, http, request, extra) -> Reply | None:
         faulty = request.path not in FAULTLESS_PATHS
+        # The handler has begun when the client reads the answer too many.
+        writer = None
+        if extra is not None:
+            writer = await self._group.spawn(self._send_extra, http, extra)
         reply = await self._handler(request)
+        if writer is not None:
+            await writer.wait()
         if reply.close_unanswered or faulty and self._faults.consume("lose_answers"):
-            return False
+            return None
         if faulty:
             http.stream.set_fault(self._faults.next_answer())
         await self._send_reply(http, reply)
         await http.stream.finish_answer()
-        return http.h11.our_state is h11.DONE
+        return reply
+
+    async def _send_extra(self, http, extra: Reply) -> None:
+        try:
+            await http.stream.write(_encode(extra))
+        except ConnectionLost:
+            return  # The task of the connection finds out by itself.
 
     async def _send_reply(self, http, reply):
         if isinstance(reply.body, bytes):
@@ -177,3 +208,10 @@
         finally:
             await reply.body.aclose()
         await http.send(h11.EndOfMessage())
+
+
+def _encode(reply: Reply) -> bytes:
+    """Return the bytes of a whole answer."""
+    headers = (*reply.headers, (b"content-length", str(len(reply.body)).encode()))
+    lines = b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+    return f"HTTP/1.1 {reply.status} \r\n".encode() + lines + b"\r\n" + reply.body
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -1,5 +1,6 @@
 """Emulated replica on the users' platform, with a ledger of its runs."""
 
+import random
 from collections import Counter
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 RESPONSE_STAMP = (b"x-sassafraskeel-response-stamp", b"1.1")
 LIMIT_HEADER = b"server-limit"
 LEAVING_HEADER = b"server-leaving"
+NOT_EXECUTED = (b"x-sassafraskeel-not-executed", b"1")
 
 # Path at which tests read the ledger of a replica.
 LEDGER_PATH = "/test/ledger"
@@ -21,9 +23,26 @@
 LIMIT_PATH = "/test/limit"
 # Path at which tests set what a replica says of its leaving, as the body.
 LEAVING_PATH = "/test/leaving"
+# Path at which tests set `RandomRefusals`, as the body.
+REFUSALS_PATH = "/test/refusals"
+# Path at which tests start a replica again, with its `Boot` as the body.
+BOOT_PATH = "/test/boot"
 
 # Time between a part of an answer and the crash of a replica.
 CRASH_DELAY_SECONDS = 0.005
+BOOT_SECONDS = 0.2
+
+
+class Boot(NamedTuple):
+    """What a replica is from one start to the next.
+
+    `version` is that of its software, "" if its entry names none. `born` is when it
+    started, in milliseconds.
+    """
+
+    name: str
+    version: str = "v1"
+    born: int = 1
 
 
 class Run(NamedTuple):
@@ -33,9 +52,20 @@
     path: str
     last_event_id: str
     started_at: float
+    boot: Boot
     ended_at: float | None = None
 
 
+class RandomRefusals(NamedTuple):
+    """The shares of requests that are refused, of refusals that are copied and of
+    copies that lack the request id, each from 0 to 1.
+    """
+
+    refused: float = 0.0
+    copied: float = 0.0
+    without_id: float = 0.0
+
+
 class ReplicaEmulator:
     """Runs plain requests, and streams `event_count` events below /stream/.
 
@@ -49,6 +79,9 @@
     the replica takes. Unless `leaving` is empty, they have it as the value that says
     whether the replica leaves. Unless `retry_after` is empty, refusals have it as their
     Retry-After, and health checks are refused too while `refuse` is not 0.
+    `copy_refusals` counts the next refusals of which a copy comes where the next answer
+    on their connection is due, without the request id if `copies_have_id` is False.
+    `random_refusals` adds refusals and copies at random.
     `name` is the instance id of the replica; requests that expect another instance are
     answered with 421. `version` is the version of its software in its entry.
     """
@@ -63,6 +96,7 @@
         self.zone = zone
         self.slots = 8
         self.version = "v1"
+        self.born = 1
         self.delay = 0.02
         self.event_count = 5
         self.refuse = 0
@@ -79,6 +113,10 @@
         self.limit = ""
         self.leaving = ""
         self.retry_after = ""
+        self.copy_refusals = 0
+        self.copies_have_id = True
+        self.random_refusals = RandomRefusals()
+        self._rng = random.Random(name)
         self.arrivals = 0
         self.arrival_times: list[float] = []
         self.probes = 0
@@ -91,6 +129,11 @@
         """Return the address of the replica."""
         return self._server.address
 
+    @property
+    def boot(self) -> Boot:
+        """Return what the replica is since its last start."""
+        return Boot(self.name, self.version, self.born)
+
     @property
     def ledger(self) -> Counter:
         """Return the number of runs by request id."""
@@ -107,29 +150,27 @@
     def store_entry(self, service: str, **fields) -> dict:
         """Return the next entry that the replica writes to the store."""
         self.sequence += 1
+        version = {"version": self.version} if self.version else {}
         return {
             "service": service,
             "address": str(self.address),
             "zone": self.zone,
-            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "coldRemainingMs": self.cold_ms,
             "seqNo": self.sequence,
-            "born": 1,
+            "born": self.born,
+            **version,
         } | fields
 
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
         if request.path == LEDGER_PATH:
-            run_times = [
-                (run.request_id, run.started_at, run.ended_at) for run in self.runs
-            ]
             content = {
                 "runs": self.ledger,
                 "arrivals": self.arrivals,
                 "arrival_times": self.arrival_times,
-                "log": run_times,
+                "log": [run._asdict() for run in self.runs],
             }
             return json_reply(content)
         if request.path == LIMIT_PATH:
@@ -138,6 +179,12 @@
         if request.path == LEAVING_PATH:
             self.leaving = request.body.decode()
             return json_reply({})
+        if request.path == REFUSALS_PATH:
+            self.random_refusals = RandomRefusals(*request.json())
+            return json_reply({})
+        if request.path == BOOT_PATH:
+            await curio.spawn(self._restart, Boot(*request.json()), daemon=True)
+            return json_reply({})
         if request.path == "/healthz":
             self.probes += 1
             headers = [(b"x-sassafraskeel-instance-id", self.name.encode())]
@@ -154,20 +201,34 @@
         request_id = request.header(b"x-sassafraskeel-request-id")
         echo = (b"x-sassafraskeel-request-id", request_id.encode())
         if request.header(b"x-sassafraskeel-expect-instance") != self.name:
-            return json_reply({}, 421, (echo, *self._state_headers()))
-        if self.refuse:
-            self.refuse -= 1
-            rejection = (echo, (b"x-sassafraskeel-not-executed", b"1"))
-            if self.retry_after:
-                rejection += ((b"retry-after", self.retry_after.encode()),)
-            return json_reply({}, 503, (*rejection, *self._state_headers()))
+            return self._refuse(request_id, 421)
+        if self.refuse or self._rng.random() < self.random_refusals.refused:
+            self.refuse = max(self.refuse - 1, 0)
+            retry_after = self.retry_after.encode()
+            rejection = ((b"retry-after", retry_after),) if retry_after else ()
+            return self._refuse(request_id, 503, NOT_EXECUTED, *rejection)
         return await self._execute(request, request_id, echo)
 
+    def _refuse(self, request_id: str, status: int, *headers) -> Reply:
+        """Return a refusal, at times with a copy of it as an answer too many."""
+        headers += self._state_headers()
+        echo = (b"x-sassafraskeel-request-id", request_id.encode())
+        reply = json_reply({}, status, (echo, *headers))
+        is_copied = self._rng.random() < self.random_refusals.copied
+        if not self.copy_refusals and not is_copied:
+            return reply
+        self.copy_refusals = max(self.copy_refusals - 1, 0)
+        has_id = self._rng.random() >= self.random_refusals.without_id
+        if has_id and self.copies_have_id:
+            return reply._replace(extra=reply)
+        return reply._replace(extra=json_reply({}, status, headers))
+
     async def _execute(self, request, request_id, echo) -> Reply:
         last_event_id = request.header(b"last-event-id")
         now = self._clock.monotonic()
         number = len(self.runs)
-        self.runs.append(Run(request_id, request.path, last_event_id, now))
+        run = Run(request_id, request.path, last_event_id, now, self.boot)
+        self.runs.append(run)
         self.running += 1
         try:
             if self.hang:
@@ -213,6 +274,14 @@
         await curio.spawn(self._server.crash, self.restart_seconds, daemon=True)
         await curio.Event().wait()
 
+    async def _restart(self, boot: Boot) -> None:
+        """End all connections and go on as another boot, with the same ledger."""
+        if boot == self.boot:
+            return  # The answer was lost, and the request was sent again.
+        await self._clock.sleep(CRASH_DELAY_SECONDS)
+        self.name, self.version, self.born = boot
+        await self._server.crash(BOOT_SECONDS)
+
     async def _broken_body(self):
         yield b"{"
         await self._clock.sleep(CRASH_DELAY_SECONDS)
--- a/soak/run.py
+++ b/soak/run.py
@@ -308,8 +308,8 @@
     async def _runs(self, replica: str) -> list[ReplicaRun]:
         ledger = await self._ledger(replica)
         return [
-            ReplicaRun(name, replica, since, until)
-            for name, since, until in ledger["log"]
+            ReplicaRun(run["request_id"], replica, run["started_at"], run["ended_at"])
+            for run in ledger["log"]
         ]
 
     async def _ledger(self, replica: str) -> dict:
--- a/tests/test_overlapping_runs.py
+++ b/tests/test_overlapping_runs.py
@@ -96,5 +96,5 @@
         for replica in cluster.replicas:
             answer = fetch(replica.address, "GET", "/test/ledger")
             log = json.loads(answer.body)["log"]
-            found += [(since, until, replica.name) for _, since, until in log]
+            found += [(run["started_at"], run["ended_at"], replica.name) for run in log]
         return sorted(found)
