--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,7 +5,9 @@
 
 START_SECONDS = 2.0
 MAX_FAULT_SECONDS = 5.0
+# Limits and random refusals start then, and end with the faults.
 LIMIT_START_SECONDS = 0.5
+MIN_REFUSED_SHARE, MAX_REFUSED_SHARE = 0.05, 0.3
 HOST_KINDS = ("kill", "stop", "pause")
 # A restored store lacks what was written in the last seconds.
 MIN_COPY_SECONDS, MAX_COPY_SECONDS = 1.0, 6.0
@@ -16,7 +18,8 @@
     """A fault or an operation on a host, a replica, a zone or the store.
 
     `at` is in seconds from the start of the run, and `duration` is in seconds. `rate`
-    is the limit that a replica names, in requests per second.
+    is the limit that a replica names, in requests per second, or the share of requests
+    that it refuses.
     """
 
     at: float
@@ -47,7 +50,10 @@
         duration = rng.uniform(0.3, MAX_FAULT_SECONDS)
         steps.append(_choose_step(rng, at, duration, targets, has_operations))
         at += rng.uniform(0.2, 2.5)
-    steps.append(_choose_limit(seed, seconds, targets))
+    limit = _choose_limit(seed, seconds, targets)
+    steps.append(limit)
+    steps += _choose_refusals(seed, seconds, targets)
+    steps += _choose_takeovers(seed, seconds, targets, limit.target)
     if not has_operations:
         steps.append(_choose_restore(seed, seconds))
     return sorted(steps, key=lambda step: step.at)
@@ -63,6 +69,40 @@
     return Step(LIMIT_START_SECONDS, "limit", target, duration, rate)
 
 
+def _choose_refusals(seed: int, seconds: float, targets: Targets) -> list[Step]:
+    """Return the share of requests that each replica refuses."""
+    rng = random.Random(f"refusals-{seed}")
+    duration = seconds - LIMIT_START_SECONDS
+    return [
+        Step(
+            LIMIT_START_SECONDS,
+            "refuse_some",
+            replica,
+            duration,
+            rng.uniform(MIN_REFUSED_SHARE, MAX_REFUSED_SHARE),
+        )
+        for replica in targets.replicas
+    ]
+
+
+def _choose_takeovers(
+    seed: int, seconds: float, targets: Targets, limited: str
+) -> list[Step]:
+    """Return when replicas are replaced by others at their addresses.
+
+    The replica that names a limit stays, since hosts have to learn the limit of another
+    one anew.
+    """
+    rng = random.Random(f"takeovers-{seed}")
+    replicas = [replica for replica in targets.replicas if replica != limited]
+    steps, at = [], START_SECONDS
+    while replicas and at < seconds:
+        duration = rng.uniform(0.3, MAX_FAULT_SECONDS)
+        steps.append(Step(at, "take_over", rng.choice(replicas), duration))
+        at += rng.uniform(1.0, 6.0)
+    return steps
+
+
 def _choose_restore(seed: int, seconds: float) -> Step:
     """Return a restore of the store from a copy that is made at the step's time."""
     rng = random.Random(f"restore-{seed}")
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,34 +5,28 @@
 import signal
 from pathlib import Path
 from typing import NamedTuple
-from urllib.parse import quote
 
 import curio
 
 from sassafraskeel.core.clock import SystemClock
-from sassafraskeel.core.errors import SassafraskeelError
-from sassafraskeel.core.http_client import request_once
-from sassafraskeel.core.net import Address, TcpNetwork, parse_address
+from sassafraskeel.core.net import TcpNetwork, parse_address
 from sassafraskeel.core.tasks import SupervisedTaskGroup
-from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
-from sassafraskeel.emulators.store import COPY_PATH
 from soak.callers import Caller
 from soak.checks import (
     DRAIN_SECONDS,
     EVACUATE_SECONDS,
     LimitedSpan,
     Record,
-    ReplicaRun,
     Span,
     find_problems,
 )
 from soak.plan import Step, Targets, make_plan
 from soak.proxy import NO_FAULT, Fault, Proxy
+from soak.replicas import SoakReplicas
+from soak.requests import Requests, StoreWriter
 from tools.cluster import free_address
-from tools.route_cluster import RouteCluster, replica_entry
+from tools.route_cluster import RouteCluster
 
-READY_SECONDS = 30.0
-REQUEST_TIMEOUT_SECONDS = 2.0
 # The directory may list a stopped or killed host for this long.
 MAX_STALE_ENTRY_SECONDS = 9.0
 # Calls are sent for this long after the last fault, to check the recovery.
@@ -70,20 +64,21 @@
     def __init__(self, seed: int, size: RunSize):
         self._seed, self._size = seed, size
         self._clock, self._network = SystemClock(), TcpNetwork()
-        self._cluster = RouteCluster(size.zones, size.delay_ms)
+        self._cluster = cluster = RouteCluster(size.zones, size.delay_ms)
+        self._requests = Requests(self._clock, self._network)
+        self._store = StoreWriter(self._requests, cluster.store)
         self._group = SupervisedTaskGroup()
         self._proxies: dict[str, Proxy] = {}
         self._proxy_addresses: dict[str, str] = {}
+        self._replicas = SoakReplicas(
+            cluster.replicas, self._proxy_addresses, self._requests, self._store
+        )
         self._down_since: dict[str, float] = {}
         self._drained_spans: list[Span] = []
         self._paused_spans: list[Span] = []
         self._link_faults: list[Span] = []
-        # Replicas that are drained or evacuated now.
-        self._drained_replicas: set[str] = set()
         self._stale_directory_entries: list[str] = []
         self._limited: list[LimitedSpan] = []
-        # The last writes of operators and replicas, by key.
-        self._written: dict[str, bytes | None] = {}
         self._version = 1
         self._faults_ended_at = 0.0
         # Unknown until the last fault has ended.
@@ -114,18 +109,17 @@
         for replica in cluster.replicas:
             cluster.start_replica(replica)
             await self._add_proxy(replica.name, replica.address)
-            self._proxy_addresses[replica.name] = self._proxy_address(replica.name)
         await self._add_proxy("store", cluster.store)
-        await self._wait_until(
-            "store", lambda: self._write("op/config", self._manifest())
-        )
+        await self._store.write_surely("op/config", self._manifest())
         for replica in cluster.replicas:
-            await self._register_replica(replica.name)
+            await self._replicas.register(replica.name)
         for host in cluster.hosts:
-            cluster.store_addresses[host.name] = self._proxy_address("store")
+            cluster.store_addresses[host.name] = self._proxy_addresses["store"]
             cluster.start_host(host)
         for host in cluster.hosts:
-            await self._wait_until(host.name, lambda host=host: self._is_ready(host))
+            await self._requests.wait_until(
+                host.name, lambda host=host: self._is_ready(host)
+            )
 
     async def _run_schedule(self) -> Record:
         started = self._clock.monotonic()
@@ -160,9 +154,7 @@
             await caller.close()
         outcomes = [outcome for caller in callers for outcome in caller.outcomes]
         self.call_count = len(outcomes)
-        runs = [
-            run for replica in targets.replicas for run in await self._runs(replica)
-        ]
+        runs = await self._replicas.runs()
         self.logs = {name: self._cluster.log(name) for name in self._cluster.processes}
         return Record(
             outcomes,
@@ -184,9 +176,13 @@
         elif step.kind in ("evacuate", "drain", "manifest"):
             await self._run_operation(step)
         elif step.kind == "limit":
-            await self._limit_replica(step)
+            self._limited.append(await self._replicas.limit(step))
+        elif step.kind == "refuse_some":
+            await self._replicas.refuse(step)
+        elif step.kind == "take_over":
+            await self._replicas.take_over(step)
         elif step.kind == "restore":
-            await self._restore_store(step)
+            await self._store.restore(step.duration)
         elif step.kind == "reset":
             await self._proxies[step.target].reset()
         else:
@@ -212,7 +208,7 @@
         host = next(h for h in self._cluster.hosts if h.name == step.target)
         del self._down_since[step.target]
         self._cluster.start_host(host)
-        await self._wait_until(host.name, lambda: self._is_ready(host))
+        await self._requests.wait_until(host.name, lambda: self._is_ready(host))
 
     async def _pause(self, step: Step) -> None:
         process = self._cluster.processes[step.target]
@@ -224,37 +220,10 @@
         process.send_signal(signal.SIGCONT)
         self._paused_spans.append(Span(step.target, since, self._clock.monotonic()))
 
-    async def _limit_replica(self, step: Step) -> None:
-        """Let a replica name a limit for a while."""
-        rate = f"{step.rate:g}".encode()
-        await self._ask_replica(step.target, "PUT", LIMIT_PATH, rate)
-        since = self._clock.monotonic()
-        await self._clock.sleep(step.duration)
-        ledger = await self._ledger(step.target)
-        until = self._clock.monotonic()
-        await self._ask_replica(step.target, "PUT", LIMIT_PATH)
-        self._limited.append(
-            LimitedSpan(step.target, step.rate, since, until, ledger["arrival_times"])
-        )
-
-    async def _restore_store(self, step: Step) -> None:
-        """Restore the store from a copy, and write again what was written since."""
-        await self._wait_until("copy of the store", lambda: self._use_copy("PUT"))
-        await self._clock.sleep(step.duration)
-        await self._wait_until("restored store", lambda: self._use_copy("POST"))
-        for key in list(self._written):
-            await self._wait_until(
-                key, lambda key=key: self._write(key, self._written[key])
-            )
-
-    async def _use_copy(self, method: str) -> bool:
-        head, _ = await self._fetch(self._cluster.store, method, COPY_PATH)
-        return head is not None and head.status == 200
-
     async def _run_operation(self, step: Step) -> None:
         if step.kind == "manifest":
             self._version += 1
-            await self._write("op/config", self._manifest())
+            await self._store.write("op/config", self._manifest())
             return
         replica_names = [step.target]
         max_seconds = DRAIN_SECONDS
@@ -265,22 +234,22 @@
             replica_names = [
                 replica.name for replica in replicas if replica.zone == zone
             ]
-        if self._drained_replicas.intersection(replica_names):
+        if self._replicas.reserved.intersection(replica_names):
             return  # The end of this operation would undo the one in progress.
-        self._drained_replicas.update(replica_names)
+        self._replicas.reserved.update(replica_names)
         if step.kind == "evacuate":
-            await self._write(f"op/evacuate/{step.target}", b"{}")
+            await self._store.write(f"op/evacuate/{step.target}", b"{}")
         else:
-            await self._register_replica(step.target, "draining")
+            await self._replicas.register(step.target, "draining")
         since = self._clock.monotonic() + max_seconds
         await self._clock.sleep(max_seconds + step.duration)
         until = self._clock.monotonic()
         self._drained_spans += [Span(name, since, until) for name in replica_names]
-        self._drained_replicas.difference_update(replica_names)
+        self._replicas.reserved.difference_update(replica_names)
         if step.kind == "evacuate":
-            await self._write(f"op/evacuate/{step.target}", None)
+            await self._store.write(f"op/evacuate/{step.target}", None)
         else:
-            await self._register_replica(step.target)
+            await self._replicas.register(step.target)
 
     async def _watch_directory(self) -> None:
         while True:
@@ -292,7 +261,7 @@
     async def _check_directory(self, host) -> None:
         path = f"/api/resolve?name=app.example&region={host.zone}&zone={host.zone}"
         asked_at = self._clock.monotonic()
-        head, body = await self._fetch(host.listen["directory"], "GET", path)
+        head, body = await self._requests.fetch(host.listen["directory"], "GET", path)
         if head is None or head.status != 200:
             return
         listed = set(json.loads(body)["addresses"])
@@ -305,32 +274,6 @@
             if is_stale and other.listen["callers"] in listed:
                 self._stale_directory_entries.append(f"{host.name} lists {other.name}")
 
-    async def _runs(self, replica: str) -> list[ReplicaRun]:
-        ledger = await self._ledger(replica)
-        return [
-            ReplicaRun(run["request_id"], replica, run["started_at"], run["ended_at"])
-            for run in ledger["log"]
-        ]
-
-    async def _ledger(self, replica: str) -> dict:
-        return json.loads(await self._ask_replica(replica, "GET", LEDGER_PATH))
-
-    async def _ask_replica(self, replica: str, method: str, path: str, body=b""):
-        """Return the answer of a replica, which may be paused for some seconds."""
-        address = next(r.address for r in self._cluster.replicas if r.name == replica)
-        expires = self._clock.monotonic() + READY_SECONDS
-        while True:
-            head, answer = await self._fetch(address, method, path, body)
-            if head is not None:
-                return answer
-            if self._clock.monotonic() > expires:
-                raise TimeoutError(f"{replica}: no answer in {READY_SECONDS:g} s")
-
-    async def _register_replica(self, name: str, state: str = "ready") -> None:
-        replica = next(r for r in self._cluster.replicas if r.name == name)
-        proxied_replica = replica._replace(address=self._proxy_addresses[name])
-        await self._write(f"servers/{name}", replica_entry(proxied_replica, state))
-
     def _manifest(self) -> bytes:
         return self._cluster.manifest(self._version)
 
@@ -341,33 +284,6 @@
         self._proxies[name] = proxy
         self._proxy_addresses[name] = str(listen)
 
-    def _proxy_address(self, name: str) -> str:
-        return self._proxy_addresses[name]
-
-    async def _write(self, key: str, value: bytes | None) -> bool:
-        self._written[key] = value
-        method = "DELETE" if value is None else "PUT"
-        path = f"/test/key?key={quote(key)}"
-        head, _ = await self._fetch(self._cluster.store, method, path, value or b"")
-        return head is not None and head.status == 200
-
     async def _is_ready(self, host) -> bool:
-        head, _ = await self._fetch(host.listen["readiness"], "GET", "/api/ready")
-        return head is not None and head.status == 200
-
-    async def _fetch(self, address: str, method: str, path: str, body: bytes = b""):
-        target: Address = parse_address(address)
-        try:
-            async with self._clock.timeout(REQUEST_TIMEOUT_SECONDS):
-                return await request_once(
-                    self._network, self._clock, target, method, path, body=body
-                )
-        except SassafraskeelError:
-            return None, b""
-
-    async def _wait_until(self, description: str, condition) -> None:
-        expires = self._clock.monotonic() + READY_SECONDS
-        while not await condition():
-            if self._clock.monotonic() > expires:
-                raise TimeoutError(f"{description}: not ready in {READY_SECONDS:g} s")
-            await self._clock.sleep(0.1)
+        address = host.listen["readiness"]
+        return await self._requests.succeeds(address, "GET", "/api/ready")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -160,6 +160,18 @@
         self.assertEqual(make_plan(5, 30.0, TARGETS), make_plan(5, 30.0, TARGETS))
         self.assertNotEqual(make_plan(5, 30.0, TARGETS), make_plan(6, 30.0, TARGETS))
 
+    def test_limited_replica_stays(self):
+        """Guards against limits that a new replica has not named yet."""
+        for seed in range(40):
+            steps = make_plan(seed, 60.0, TARGETS)
+            targets = {
+                kind: {step.target for step in steps if step.kind == kind}
+                for kind in ("limit", "take_over", "refuse_some")
+            }
+            self.assertFalse(targets["limit"] & targets["take_over"], seed)
+            self.assertTrue(targets["take_over"], seed)
+            self.assertEqual(targets["refuse_some"], set(TARGETS.replicas), seed)
+
     def test_no_operations_with_store_faults(self):
         """Guards against checks of time limits while hosts cannot reach the store."""
         operations = {"evacuate", "drain", "manifest"}
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
+from sassafraskeel.emulators.replica import Boot
 from tools.cluster import free_address
 
 READY_SECONDS = 20.0
@@ -254,17 +255,21 @@
             time.sleep(0.05)
 
 
-def replica_entry(replica: ReplicaProcess, state: str = "ready") -> bytes:
+def replica_entry(
+    replica: ReplicaProcess, state: str = "ready", boot: Boot | None = None
+) -> bytes:
     """Return the store's entry of a replica, as JSON."""
+    boot = boot or Boot(replica.name)
     content = {
         "service": "desk",
         "address": replica.address,
         "zone": replica.zone,
-        "version": "v1",
         "slots": 8,
         "state": state,
         "coldRemainingMs": 0,
         "seqNo": next(ENTRY_NUMBERS),
-        "born": 1,
+        "born": boot.born,
     }
+    if boot.version:
+        content["version"] = boot.version
     return json.dumps(content).encode()
