Log the software version of targets and what resumed streams name

Events 314 and 304 named the replica but neither its version nor the attempt in Resumes, so streams that callers took up again could not be told from new ones, and versions had to be put together from the operators' log. Both events now have the fields version and resumes. Replicas whose entries name no version appear as unversioned:NAME/START.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -46,6 +46,12 @@
     features: tuple[str, ...] = ()
     trial: int = 0
 
+    @property
+    def logged_version(self) -> str:
+        """Return the software version of a replica for the log, "" for a host."""
+        replica = self.upstream
+        return replica.logged_version if isinstance(replica, Replica) else ""
+
 
 class AttemptHistory:
     """The earlier attempts of a call.
@@ -53,7 +59,7 @@
     `excluded` targets are not used again; `penalized` targets answered with a failure
     and are used again only if no other target is better. `runs` holds the targets that
     may have run the call, by the number of the attempt. `attempts` counts all attempts,
-    and `delivered_attempts` those that may have reached an upstream. `target` names the
+    and `delivered_attempts` those that may have reached an upstream. `target` is the
     target of the latest attempt. `round_attempts` counts the attempts since the call
     began or was last resumed, and `rounds` how often it was tried to resume the call.
     `charged_at` is when the latest attempt was charged to a retry budget, in monotonic
@@ -66,7 +72,7 @@
         self.runs: dict[int, Target] = {}
         self.delivered_attempts = 0
         self.attempts = 0
-        self.target = ""
+        self.target: Target | None = None
         self.round_attempts = 0
         self.rounds = 0
         self.charged_at: float | None = None
@@ -146,7 +152,7 @@
             raise overall_refusal(last, draining_refusal(), history) from exc
         history.attempts += 1
         history.round_attempts += 1
-        history.target = target.name
+        history.target = target
         try:
             answer = await policy.send_attempt(target, call, body, history)
         except Refusal as refusal:
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -439,6 +439,8 @@
             route=call.route_policy.route,
             manifest=call.route_policy.version,
             to=target.name,
+            version=target.logged_version,
+            resumes=call.resumes,
             sends=history.attempts,
             predicted_ms=round(target.predicted_seconds * 1000),
             prompt_tokens=target.prompt_tokens,
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -15,6 +15,8 @@
 # Replicas that left, remembered so that a copy of the store does not bring them back.
 MAX_DEPARTED = 1024
 UNKNOWN_SEQUENCE = -1
+# Begins the versions that stand for entries without a usable one.
+UNVERSIONED_PREFIX = "\0"
 
 
 class Replica(NamedTuple):
@@ -39,6 +41,14 @@
     sequence: int = UNKNOWN_SEQUENCE
     software_version: str = ""
 
+    @property
+    def logged_version(self) -> str:
+        """Return the software version without characters that logs have to escape."""
+        version = self.software_version
+        if version.startswith(UNVERSIONED_PREFIX):
+            return version.replace(UNVERSIONED_PREFIX, "unversioned:", 1)
+        return version
+
 
 class Fleet:
     """The manifest in force, the replicas and the evacuated zones.
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -6,7 +6,7 @@
 from sassafraskeel.core.net import parse_address
 from sassafraskeel.core.types import CallKind, HostInfo
 from sassafraskeel.decisions.crash_evidence import CrashTable
-from sassafraskeel.decisions.fleet import UNKNOWN_SEQUENCE, Replica
+from sassafraskeel.decisions.fleet import UNKNOWN_SEQUENCE, UNVERSIONED_PREFIX, Replica
 from sassafraskeel.decisions.routes import (
     CallerLimits,
     EngineSpec,
@@ -46,8 +46,6 @@
 # Larger numbers are not exact in JSON (RFC 8259, section 6).
 MAX_NUMBER = 2**53
 DRAINING_BY_STATE = {"ready": False, "draining": True}
-# Begins the versions that stand for entries without a usable one.
-UNVERSIONED_PREFIX = "\0"
 MAX_VERSION_LENGTH = 200
 
 
--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -86,11 +86,17 @@
 class RouteWorld:
     """A store, replicas and route hosts, by default two in the north, one in the south.
 
-    `cores` are the speeds of the hosts, 1 for those that are not listed.
+    `cores` are the speeds of the hosts, 1 for those that are not listed; `versions` are
+    those of the replicas' software, v1 for those that are not listed.
     """
 
     def __init__(
-        self, clock, replica_zones=DEFAULT_ZONES, zones=DEFAULT_ZONES, cores=()
+        self,
+        clock,
+        replica_zones=DEFAULT_ZONES,
+        zones=DEFAULT_ZONES,
+        cores=(),
+        versions=(),
     ):
         self.clock = clock
         self.zones = zones
@@ -107,6 +113,8 @@
             )
             for number, zone in enumerate(replica_zones)
         ]
+        for replica, version in zip(self.replicas, versions, strict=False):
+            replica.version = version
         self.hosts = []
         self.logs = []
 
@@ -184,7 +192,13 @@
         )
 
     async def open_call(
-        self, path, method="POST", host=0, call_id="c-1", deadline_ms=5000
+        self,
+        path,
+        method="POST",
+        host=0,
+        call_id="c-1",
+        deadline_ms=5000,
+        headers=(),
     ):
         """Send a call and return its connection before the answer is read."""
         address = self.hosts[host].cfg.listen.callers
@@ -193,6 +207,7 @@
             (b"host", HOST.encode()),
             (b"x-sassafraskeel-request-id", call_id.encode()),
             (b"x-sassafraskeel-deadline-ms", str(deadline_ms).encode()),
+            *headers,
         )
         await conn.send(method, path, fields, b"")
         return conn
