Close the connection of a rejection whose caller has left

A caller that leaves while the body of a rejection is read cancels its call, and the connection to the replica was neither closed nor kept; the replica also counted as owing data. The connection is now released however the reading ends.

tests.test_copied_refusals_review.CallerLeavesTest: the connection was open after two seconds before, and is closed now.

--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -343,4 +343,5 @@
                 to=replica.name,
                 detail=str(exc),
             )
-        await answer.close()
+        finally:
+            await answer.close()
