Skip copies of answers to other calls

A copy of the answer to an earlier call ended the call under way with an unknown outcome, although the id tells that it is not its answer: callers got 502 for orders that ran, and for orders that the replica refused and that could go elsewhere. The host now reads on, at most four answers far, within the time of the call. If no answer follows, the call ends at its deadline instead of at the copy.

tests.test_copied_refusals_review.OtherCallTest: 5 orders that ran were answered with 502 before, none now.

--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -146,6 +146,19 @@
         if not self._work_limit.spend(pieces, self._clock.monotonic()):
             raise ProtocolError("too many short chunks, or bytes that are no content")
 
+    def expect_another_answer(self, method: str) -> None:
+        """Let the next message that arrives be an answer to the request as well."""
+        data, has_ended = self.h11.trailing_data
+        self.h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        for event in request_events(method, "/", ((b"host", b"-"),), b""):
+            self.h11.send(event)
+        if data:
+            self.h11.receive_data(data)
+        if has_ended:
+            self.h11.receive_data(b"")
+
     async def send(self, *events) -> None:
         """Send events in a single write; raise ConnectionLost or ProtocolError."""
         try:
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -89,6 +89,20 @@
         except ProtocolError as exc:
             raise AnswerTruncated(str(exc)) from exc
 
+    async def skip_answer(self, max_bytes: int) -> None:
+        """Skip an answer that belongs to an earlier request; another one follows.
+
+        Raise ProtocolError if it has more than `max_bytes` or ends with the connection.
+        """
+        if self.is_close_delimited:
+            raise ProtocolError("no answer follows that to another request")
+        size = 0
+        while data := await self.receive_data():
+            size += len(data)
+            if size > max_bytes:
+                raise ProtocolError("the answer to another request is too long")
+        self._http.expect_another_answer(self._method)
+
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return False if none can be sent."""
         state = self._http.h11
--- a/sassafraskeel/platform/replicas.py
+++ b/sassafraskeel/platform/replicas.py
@@ -33,6 +33,10 @@
             headers.append((wire.LAST_EVENT_ID, call.resume_after.encode()))
         return tuple(headers)
 
+    def names_other_call(self, call: Call, head: ResponseHead) -> bool:
+        request_id = find_header(head.headers, wire.REQUEST_ID)
+        return bool(request_id) and request_id != call.call_id
+
     def read_head(self, call: Call, head: ResponseHead, is_first: bool) -> ReplicaHead:
         misdirected = head.status == MISDIRECTED_STATUS
         not_executed = bool(find_header(head.headers, wire.NOT_EXECUTED))
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -39,6 +39,8 @@
 # The body of a rejection is short; its connection is closed if it is not.
 MAX_REJECTION_BYTES = 64 * 1024
 REJECTION_SECONDS = 0.3
+# Copies of answers to earlier calls that may precede the answer to a call.
+MAX_SKIPPED_ANSWERS = 4
 
 
 class ReplicaHead(NamedTuple):
@@ -83,6 +85,9 @@
     ) -> Headers:
         """Return the headers of a request with its `remaining` time in seconds."""
 
+    def names_other_call(self, call: Call, head: ResponseHead) -> bool:
+        """Return whether a head has the id of another call."""
+
     def read_head(self, call: Call, head: ResponseHead, is_first: bool) -> ReplicaHead:
         """Decode a head; raise ProtocolError if it may belong to another request.
 
@@ -309,7 +314,7 @@
         try:
             async with self._clock.timeout(timeout):
                 await conn.send(call.method, call.path, headers, body)
-                return await conn.receive_head(allow_close_delimited=True)
+                return await self._receive_head(conn, call)
         except TimedOut as exc:
             if timeout < remaining and call.kind is CallKind.MODEL:
                 # The call may go on elsewhere. The replica may run it already.
@@ -326,6 +331,16 @@
                 Reason.UPSTREAM_FAILED, f"{replica.name}: {exc}"
             ) from exc
 
+    async def _receive_head(self, conn, call) -> ResponseHead:
+        """Return the head of the answer, after copies of answers to other calls."""
+        head = await conn.receive_head(allow_close_delimited=True)
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            if not self._interface.names_other_call(call, head):
+                break
+            await conn.skip_answer(MAX_REJECTION_BYTES)
+            head = await conn.receive_head(allow_close_delimited=True)
+        return head
+
     async def _read_rejection(self, replica, call, answer: ReplicaAnswer) -> None:
         """Read the short body of a rejection, so that its connection can be reused."""
         size = 0
