Let calls behind one that waits for a software version go on

A call that may run at one version only would have held up the whole queue of its service while that version had no free slot. The queue passes over the versions without one, and counts for a new call only the waiting calls that compete with it. Calls without a version see the same queue as before. test_admission.VersionTest fails without the change.

--- a/sassafraskeel/calls/slot_queues.py
+++ b/sassafraskeel/calls/slot_queues.py
@@ -8,6 +8,7 @@
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run_refusal
+from sassafraskeel.core.types import Call
 from sassafraskeel.decisions.admission import AdmissionQueue, QueuedCall
 from sassafraskeel.decisions.fleet import Replica
 from sassafraskeel.sheets.model import Sheet, Upstream
@@ -25,7 +26,7 @@
     None for calls of routes. `expires` is in monotonic seconds, `service_seconds` is
     the expected time in the slot, and `from_remote` marks calls that were forwarded
     from another domain or region. `take_slot` takes a free slot and returns its
-    upstream, or returns None if there is none.
+    upstream, or returns None if there is none. `software_version` is that of the call.
     """
 
     sheet: Callable[[], Sheet] | None
@@ -36,6 +37,7 @@
     service_seconds: float
     from_remote: bool
     take_slot: Callable[[], Upstream | Replica | None]
+    software_version: str = ""
 
 
 def workspace_shares(request: SlotRequest) -> dict[str, float]:
@@ -85,13 +87,23 @@
         """Return the number of calls that wait for a slot of a service."""
         return len(self._queues.get(service, ()))
 
-    def calls_ahead(self, request: SlotRequest) -> float:
-        """Return how many waiting calls would be served before a new call."""
+    def has_rivals(self, call: Call) -> bool:
+        """Return whether a call waits for a slot that a new call may take."""
+        queue = self._queues.get(call.service)
+        return bool(queue) and queue.has_rivals(call.software_version)
+
+    def calls_ahead(self, request: SlotRequest, software_version: str = "") -> float:
+        """Return how many waiting calls would be served before a new call.
+
+        Only calls that are bound to `software_version` count, or those that are bound
+        to none if it is empty.
+        """
         queue = self._queues.get(request.service)
         if not queue:
             return 0.0
-        shares = self._shares(request)
-        return queue.calls_ahead(request.workspace, request.priority, shares)
+        return queue.calls_ahead(
+            request.workspace, request.priority, self._shares(request), software_version
+        )
 
     def predicted_wait(self, request: SlotRequest, parallel: float) -> float:
         """Return the seconds that a call would wait if it were queued now.
@@ -128,13 +140,18 @@
         self._served_at[service] = self._clock.monotonic()
         for expired in queue.pop_expired(self._clock.monotonic()):
             await self._waiters[expired.number].end(refusal=_no_slot_in_time())
-        while (entry := queue.peek()) is not None:
+        # Versions without a free slot; the calls that are bound to others go on.
+        skipped: set[str] = set()
+        while (entry := queue.peek(skipped)) is not None:
             waiter = self._waiters[entry.number]
             upstream = waiter.request.take_slot()
-            if upstream is None:
+            if upstream is not None:
+                queue.pop(self._shares(waiter.request), skipped)
+                await waiter.end(upstream)
+            elif entry.software_version:
+                skipped.add(entry.software_version)
+            else:
                 return
-            queue.pop(self._shares(waiter.request))
-            await waiter.end(upstream)
 
     async def _wait_until_ended(self, waiter: SlotWaiter) -> Upstream | Replica:
         expires = waiter.request.expires
@@ -165,6 +182,7 @@
             request.expires - request.service_seconds,
             request.service_seconds,
             request.from_remote,
+            request.software_version,
         )
 
     def _queue(self, service: str) -> AdmissionQueue:
--- a/sassafraskeel/decisions/admission.py
+++ b/sassafraskeel/decisions/admission.py
@@ -1,6 +1,7 @@
 """A bounded, fair queue of calls that wait for a slot of a service."""
 
 from collections import Counter
+from collections.abc import Collection
 from typing import NamedTuple
 
 
@@ -9,7 +10,8 @@
 
     `expires` is its latest start in monotonic seconds, `expected_seconds` the time
     for which it is expected to hold a slot, and `remote` marks a call that was
-    forwarded from another failure domain.
+    forwarded from another failure domain. A call with a `software_version` takes only
+    slots of upstreams with that version.
     """
 
     number: int
@@ -18,6 +20,7 @@
     expires: float
     expected_seconds: float
     remote: bool
+    software_version: str = ""
 
     @property
     def rank(self) -> tuple[int, float, int]:
@@ -62,19 +65,36 @@
             self._drop_idle_tag(entry.workspace)
         return entry is not None
 
-    def peek(self) -> QueuedCall | None:
-        """Return the call that is served next, without removing it."""
-        local = [entry for entry in self._waiting.values() if not entry.remote]
-        pool = local or list(self._waiting.values())
+    def has_rivals(self, software_version: str) -> bool:
+        """Return whether a call waits for a slot that a new call may take.
+
+        `software_version` is that of the new call. Calls that are bound to a version
+        wait while other slots are free, so that they are no rivals of unbound calls.
+        """
+        versions = ("", software_version)
+        return any(e.software_version in versions for e in self._waiting.values())
+
+    def peek(self, skipped: Collection[str] = ()) -> QueuedCall | None:
+        """Return the call that is served next, without removing it.
+
+        Calls that are bound to one of the `skipped` versions are left out.
+        """
+        waiting = self._waiting.values()
+        if skipped:
+            waiting = [e for e in waiting if e.software_version not in skipped]
+        local = [entry for entry in waiting if not entry.remote]
+        pool = local or list(waiting)
         if not pool:
             return None
         return min(
             pool, key=lambda entry: (self._start_tags[entry.workspace], entry.rank)
         )
 
-    def pop(self, shares: dict[str, float]) -> QueuedCall | None:
-        """Remove and return the call that is served next, or None."""
-        entry = self.peek()
+    def pop(
+        self, shares: dict[str, float], skipped: Collection[str] = ()
+    ) -> QueuedCall | None:
+        """Remove and return the call that is served next, or None; see `peek`."""
+        entry = self.peek(skipped)
         if entry is None:
             return None
         self._virtual_time = max(self._virtual_time, self._start_tags[entry.workspace])
@@ -92,18 +112,28 @@
         return late
 
     def calls_ahead(
-        self, workspace: str, priority: int, shares: dict[str, float]
+        self,
+        workspace: str,
+        priority: int,
+        shares: dict[str, float],
+        software_version: str = "",
     ) -> float:
         """Return how many waiting calls are served before a new call.
 
-        While the calls ahead in its workspace are served, each other workspace gets its
-        share.
+        Only calls that are bound to `software_version` count, or those that are bound
+        to none if it is empty. While the calls ahead in its workspace are served, each
+        other workspace gets its share.
         """
-        queued = Counter(entry.workspace for entry in self._waiting.values())
+        waiting = [
+            entry
+            for entry in self._waiting.values()
+            if entry.software_version == software_version
+        ]
+        queued = Counter(entry.workspace for entry in waiting)
         queued.pop(workspace, None)
         own = sum(
             entry.workspace == workspace and entry.priority <= priority
-            for entry in self._waiting.values()
+            for entry in waiting
         )
         rounds = (own + 1) / shares.get(workspace, 1.0)
         return own + sum(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -131,3 +131,38 @@
             queue.add(QueuedCall(number, "middle", 3, 1e9, 1.0, False), SHARES)
         served = [queue.pop(SHARES).workspace for _ in range(30)]
         self.assertAlmostEqual(served.count("middle"), 20, delta=2)
+
+
+class VersionTest(TestCase):
+    """Calls that take only slots of one software version."""
+
+    def setUp(self):
+        self.queue = AdmissionQueue(1000)
+        for number, version in enumerate(("v1", "v1", "v2", "", "v1", "")):
+            call = QueuedCall(number, "small", 1, 1e9, 1.0, False, version)
+            self.queue.add(call, SHARES)
+
+    def test_skipped_versions(self):
+        """Guards against calls that wait behind one whose version has no free slot."""
+        served = []
+        while (entry := self.queue.pop(SHARES, {"v1"})) is not None:
+            self.assertEqual(self.queue.peek({"v1"}) is None, entry.number == 5)
+            served.append(entry.number)
+        self.assertEqual(served, [2, 3, 5])
+        self.assertEqual([self.queue.pop(SHARES).number for _ in range(3)], [0, 1, 4])
+
+    def test_rivals(self):
+        """Guards against a new call that waits, or does not, behind the wrong calls."""
+        rivals = [self.queue.has_rivals(version) for version in ("", "v1", "v9")]
+        self.assertEqual(rivals, [True, True, True])
+        for number in (3, 5):
+            self.queue.remove(number)
+        rivals = [self.queue.has_rivals(version) for version in ("", "v1", "v9")]
+        self.assertEqual(rivals, [False, True, False])
+
+    def test_calls_ahead(self):
+        """Guards against calls that are counted for slots they can't take."""
+        ahead = [
+            self.queue.calls_ahead("small", 1, SHARES, v) for v in ("", "v1", "v9")
+        ]
+        self.assertEqual(ahead, [2, 3, 0])
