Place a call with a software version only at replicas of that version

A call with a software_version now counts only replicas of that version: in the choice of the local host and of the coordinator, in the queue, in the predicted wait, and in pauses. It is forwarded only to regions where the fleet lists such a replica, and takes its version along in PlacementRequest and RouteOffer, which have new numbers. A grant of a replica that has another version by the local copy of the store is not used.

A call whose version has no replica left that is to get new work in a region that may run it is refused at once as version_gone (503, not run, with Retry-After). Draining, leaving and evacuated replicas are gone in this sense, crashed and paused ones are not. Hosts of before don't know the reason, but they can't send such calls either.

A replica whose entry names no start of its run is taken for another one when the version in its entry changes.

--- a/sassafraskeel/calls/route_options.py
+++ b/sassafraskeel/calls/route_options.py
@@ -72,10 +72,7 @@
 
         With `free_only`, only replicas with a free slot are included.
         """
-        region = self._local_region()
-        if not _allows_region(call, region):
-            return []
-        replicas = self._replicas_by_region(call.service, now).get(region, [])
+        replicas = self._local_replicas(call, now)
         usable = [
             replica
             for replica in replicas
@@ -127,10 +124,9 @@
 
     def has_local(self, call: Call, history: AttemptHistory, now: float) -> bool:
         """Return whether a replica of the local region is usable, free or not."""
-        region = self._local_region()
-        return _allows_region(call, region) and any(
+        return any(
             replica.name not in history.excluded and self._is_usable(replica, now)
-            for replica in self._replicas_by_region(call.service, now).get(region, ())
+            for replica in self._local_replicas(call, now)
         )
 
     def pause_left(self, call: Call, now: float) -> float:
@@ -139,32 +135,65 @@
         Returns 0 unless all those that take work by their entries are paused.
         """
         state, region = self._routing_state, self._local_region()
-        if not _allows_region(call, region) or self._replicas_by_region(
-            call.service, now
-        ).get(region):
+        if not _allows_region(call, region) or self._local_replicas(call, now):
             return 0.0
         pauses = [
             state.statements.pause_left(replica, now)
+            for replica in self._paused(call, now)
+            if state.fleet.region_of(replica.zone) == region
+        ]
+        return min(pauses, default=0.0)
+
+    def lists_version(self, call: Call, now: float) -> bool:
+        """Return whether a replica with the version of a call is to get new work.
+
+        It may be out of use for now, as after a crash. Replicas of all regions that may
+        run the call count, but only those of the local region if it was forwarded.
+        """
+        regions = self._replicas_by_region(call.service, now)
+        is_usable = any(self._has_version(region, call, now) for region in regions)
+        return is_usable or bool(self._paused(call, now))
+
+    def _paused(self, call: Call, now: float) -> list[Replica]:
+        """Return the replicas for a call that want no requests for some time."""
+        state = self._routing_state
+        return [
+            replica
             for replica in state.refusing(now)
             if replica.service == call.service
-            and state.fleet.region_of(replica.zone) == region
+            and self._may_run(call, state.fleet.region_of(replica.zone))
             and state.fleet.accepts_work(replica, now)
             and not state.statements.is_leaving(replica)
+            and call.software_version in ("", replica.software_version)
         ]
-        return min(pauses, default=0.0)
 
-    def predicted_wait(self, call: Call, ahead: float, now: float) -> float:
-        """Return the seconds until a call with `ahead` calls before it gets a slot."""
-        state = self._routing_state
-        spec = state.fleet.service(call.service)
+    def predicted_wait(
+        self, call: Call, ahead: float, now: float, bound_ahead: float = 0.0
+    ) -> float:
+        """Return the seconds until a call gets a slot.
+
+        Of the waiting calls before it, `ahead` run at any replica, and `bound_ahead`
+        only at those with the version of this call.
+        """
         replicas = self._replicas_by_region(call.service, now)
-        work = state.service_times.expected(call.service, "")
-        rate = sum(
+        local = replicas.get(self._local_region(), [])
+        rate = self._total_rate(call.service, local, now)
+        if not call.software_version:
+            return (ahead + 1) / rate if rate else math.inf
+        replicas = self._local_replicas(call, now)
+        own_rate = self._total_rate(call.service, replicas, now)
+        return (bound_ahead + 1) / own_rate + ahead / rate if own_rate else math.inf
+
+    def _total_rate(self, service: str, replicas: list[Replica], now: float) -> float:
+        """Return how many calls per second get a slot of some replicas."""
+        state = self._routing_state
+        spec = state.fleet.service(service)
+        work = state.service_times.expected(service, "")
+        return sum(
             self._slot_rate(replica, spec, work, now)
-            for replica in replicas.get(self._local_region(), ())
+            for replica in replicas
             if self._may_use(replica, now)
         )
-        return (ahead + 1) / rate if rate else math.inf
 
     def _slot_rate(self, replica: Replica, spec, work: float, now: float) -> float:
         """Return how many calls per second get a slot while all slots are used."""
@@ -185,6 +214,9 @@
             load = state.region_loads.services(region).get(call.service)
             if load is None or not load.replicas or not _allows_region(call, region):
                 continue
+            if call.software_version and not self._has_version(region, call, now):
+                # The load of a region does not tell the versions of its replicas.
+                continue
             if not self.forward_hosts(region, call, history, now):
                 continue
             option = self._region_option(call, region, load, now)
@@ -355,6 +387,29 @@
         hosts = self._routing_state.hosts
         return hosts.region_of(hosts.local_host)
 
+    def _may_run(self, call: Call, region: str) -> bool:
+        """Return whether a call may run in a region, or be forwarded to it."""
+        if call.hops and region != self._local_region():
+            return False
+        return _allows_region(call, region)
+
+    def _local_replicas(self, call: Call, now: float) -> list[Replica]:
+        """Return the replicas of the local region that a call may run at."""
+        region = self._local_region()
+        if not _allows_region(call, region):
+            return []
+        replicas = self._replicas_by_region(call.service, now).get(region, [])
+        if not call.software_version:
+            return replicas
+        return [r for r in replicas if r.software_version == call.software_version]
+
+    def _has_version(self, region: str, call: Call, now: float) -> bool:
+        """Return whether a region that may run a call has a replica of its version."""
+        return self._may_run(call, region) and any(
+            replica.software_version == call.software_version
+            for replica in self._replicas_by_region(call.service, now).get(region, ())
+        )
+
     def _replicas_by_region(self, service: str, now: float) -> dict[str, list[Replica]]:
         state = self._routing_state
         changes = (state.fleet.changes, state.statements.changes)
--- a/sassafraskeel/calls/route_placement.py
+++ b/sassafraskeel/calls/route_placement.py
@@ -119,6 +119,11 @@
                 if target is not None:
                     return target
                 continue
+            if call.software_version and not self.options.lists_version(call, now):
+                detail = f"no replica of {call.service} has the version of the stream"
+                raise not_run_refusal(
+                    Reason.VERSION_GONE, detail, NO_REPLICA_RETRY_SECONDS
+                )
             pause = self.options.pause_left(call, now)
             if pause:
                 detail = f"all replicas of {call.service} want no requests"
@@ -207,7 +212,7 @@
     ) -> Target | None:
         """Return the best target for the call, or None if there is none at present."""
         local = []
-        if call.hops or not self._queues.length(call.service):
+        if call.hops or not self._queues.has_rivals(call):
             # Otherwise the waiting calls come first.
             local = self.options.local(call, history, now, free_only=True)
         unreserved = self.options.unreserved(call, local, now)
@@ -239,8 +244,10 @@
 
     def _refuse_if_late(self, call: Call, started_at: float, now: float) -> None:
         """Raise Refusal if a call would get a slot too late for its objective."""
-        ahead = self._queues.calls_ahead(self._slot_request(call))
-        wait = self.options.predicted_wait(call, ahead, now)
+        request, version = self._slot_request(call), call.software_version
+        ahead = self._queues.calls_ahead(request)
+        bound = self._queues.calls_ahead(request, version) if version else 0.0
+        wait = self.options.predicted_wait(call, ahead, now, bound)
         is_model = call.kind is CallKind.MODEL
         objectives = MAX_WAIT_OBJECTIVES if is_model else MAX_PLAIN_WAIT_OBJECTIVES
         if now - started_at + wait > objectives * call.route_policy.objective:
@@ -298,6 +305,7 @@
             # Calls that are bound to their homes have no region of their own.
             from_remote=bool(call.hops) and not call.route_policy.home_regions,
             take_slot=lambda: None,
+            software_version=call.software_version,
         )
 
     def _take_slot(self, call: Call, option: Option, now: float) -> Target:
--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -23,6 +23,7 @@
     WRONG_HOST = "wrong_host"
     NO_SHEET = "no_sheet"
     NO_UPSTREAM = "no_upstream"
+    VERSION_GONE = "version_gone"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     LOOP = "loop"
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -263,6 +263,9 @@
         known = self._replicas.get(replica.name)
         if known is None or known.started_at_ms != replica.started_at_ms:
             return False
+        if known.software_version != replica.software_version:
+            # Entries that do not name the start of their run are of several runs.
+            return False
         if known.draining or known.zone in self._evacuated:
             return False
         return now < self._missing_until.get(replica.name, now + 1)
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -113,16 +113,18 @@
     # 72 and 73 were heartbeats without the limits that replicas named.
     74: ReplicaReservation,
     75: ReservationReply,
-    76: PlacementRequest,
+    # 76 was PlacementRequest without a software version.
     # 77 and 78 were heartbeats that did not say which replicas leave.
     # 80 was DrainNotice without the capacity of the host.
     81: DrainNotice,
     82: FeedRequest,
     83: FeedChanges,
     84: ManifestDocument,
-    85: RouteOffer,
+    # 85 was RouteOffer without a software version.
     86: RouteHeartbeat,
     87: RouteHeartbeatReply,
+    88: PlacementRequest,
+    89: RouteOffer,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -233,7 +233,7 @@
     `number` identifies the request and its grant among those of the sender. The other
     fields are those of a RouteOffer, and the names of targets that are not to be used
     or only if no other one is better. `forwarded` calls are not sent on to another
-    region. `fingerprint` is that of core.types.Call.
+    region. `fingerprint` and `software_version` are those of core.types.Call.
     """
 
     number: int
@@ -247,6 +247,7 @@
     excluded: tuple[str, ...]
     penalized: tuple[str, ...]
     fingerprint: str
+    software_version: str
 
 
 class Placed(NamedTuple):
@@ -321,7 +322,8 @@
     `route_policy` lists the fields of core.types.RoutePolicy. `timeout` is the
     remaining time of the call and `start_within` the time that it may wait for a slot,
     both in seconds, as are `needed_within` and `run_seconds`, which say how long the
-    receiver must stay (see core.types.Call). The body follows without waiting for
+    receiver must stay (see core.types.Call). The call runs only at replicas with
+    `software_version`, or at any if that is empty. The body follows without waiting for
     Accept.
     """
 
@@ -339,6 +341,7 @@
     start_within: float
     needed_within: float
     run_seconds: float
+    software_version: str
 
 
 class DrainNotice(NamedTuple):
--- a/sassafraskeel/gateways/placement.py
+++ b/sassafraskeel/gateways/placement.py
@@ -192,6 +192,7 @@
             excluded=tuple(history.excluded.union(excluded)),
             penalized=tuple(history.penalized),
             fingerprint=call.fingerprint,
+            software_version=call.software_version,
         )
 
     def _forward_target(self, reply: Placed, call, history) -> Target | None:
@@ -206,7 +207,11 @@
     ) -> Target | None:
         now = self._clock.monotonic()
         replica = self._state.fleet.get(reply.replica)
-        usable = replica is not None and self._state.accepts_work(replica, now)
+        usable = (
+            replica is not None
+            and self._state.accepts_work(replica, now)
+            and call.software_version in ("", replica.software_version)
+        )
         if not usable or now >= grant.expires:
             # The coordinator may know the replica before the local host does.
             if not usable:
@@ -232,6 +237,8 @@
     def _log_unused(self, call: Call, name: str, now: float) -> None:
         replica = self._state.fleet.get(name)
         cause = replica and self._state.statements.cause(replica, now)
+        if replica is not None and self._state.accepts_work(replica, now):
+            cause = "version"
         self._log.emit(
             Event.GRANT_UNUSED,
             call=call.call_id,
--- a/sassafraskeel/gateways/placement_server.py
+++ b/sassafraskeel/gateways/placement_server.py
@@ -181,4 +181,5 @@
         fingerprint=request.fingerprint,
         route_policy=decode_route_policy(request.route_policy),
         queue_deadline=now + request.start_within,
+        software_version=request.software_version,
     )
--- a/sassafraskeel/gateways/route_forwarding.py
+++ b/sassafraskeel/gateways/route_forwarding.py
@@ -214,6 +214,7 @@
         start_within=max(min(call.queue_deadline - now, timeout), 0.0),
         needed_within=min(call.needed_until - now, timeout),
         run_seconds=min(call.run_seconds, timeout),
+        software_version=call.software_version,
     )
 
 
@@ -256,6 +257,7 @@
         queue_deadline=now + offer.start_within,
         needed_until=now + offer.needed_within,
         run_seconds=offer.run_seconds,
+        software_version=offer.software_version,
     )
 
 
