Tell the software version of a forwarded answer's replica

A host that forwards a call did not learn at which version the stream began. An answer to a RouteOffer now begins with RouteAnswerHead, which names it, and the answers of RouteCalls have it as software_version: that of the entry with which the replica was chosen, or what the other host says. The project's own interface goes on with AnswerHead, so that its hosts of before and after still understand each other.

--- a/sassafraskeel/calls/answers.py
+++ b/sassafraskeel/calls/answers.py
@@ -31,13 +31,15 @@
     """An answer with additional headers that releases its slot when it is closed.
 
     `headers` replace headers of the same names. `release` is called once, with True
-    if the answer was read to its end.
+    if the answer was read to its end. `software_version` is that of the replica that
+    writes the answer, "" if it is unknown.
     """
 
-    def __init__(self, answer: Answer, headers, release):
+    def __init__(self, answer: Answer, headers, release, software_version: str = ""):
         names = {name for name, _ in headers}
         kept = tuple(pair for pair in answer.head.headers if pair[0] not in names)
         self.head = ResponseHead(answer.head.status, (*kept, *headers))
+        self.software_version = software_version
         self._answer = answer
         self._release = release
         self._closed = False
@@ -63,10 +65,13 @@
                 await self._release(self._is_complete)
 
 
-async def buffer_answer(source: str, call: Call, answer: Answer) -> BufferedAnswer:
+async def buffer_answer(
+    source: str, call: Call, answer: Answer, software_version: str = ""
+) -> BufferedAnswer:
     """Read and close an answer that is no stream; raise Refusal unless it is whole.
 
-    No truncated answer is thus forwarded. `source` names the target that answers.
+    No truncated answer is thus forwarded. `source` names the target that answers, and
+    `software_version` is that of its replica.
     """
     try:
         data = await read_to_end(answer, MAX_BUFFERED_ANSWER_BYTES)
@@ -86,7 +91,8 @@
             Reason.UPSTREAM_FAILED, f"{source}: answer too long"
         )
     headers = _framing_headers(call, answer.head, len(data))
-    return BufferedAnswer(ResponseHead(answer.head.status, headers), data)
+    head = ResponseHead(answer.head.status, headers)
+    return BufferedAnswer(head, data, software_version)
 
 
 def _framing_headers(call: Call, head: ResponseHead, size: int) -> Headers:
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -255,8 +255,10 @@
             stream = EventStream(
                 answer, self._clock, self._resumer.resume_function(call, body, history)
             )
-            return ReleasingAnswer(stream, (), release)
-        buffered = await buffer_answer(target.name, call, answer)
+            return ReleasingAnswer(stream, (), release, answer.software_version)
+        buffered = await buffer_answer(
+            target.name, call, answer, answer.software_version
+        )
         await release(True)
         return buffered
 
@@ -303,6 +305,7 @@
     ) -> Answer:
         history.delivered_attempts += 1
         history.record_run(target)
+        version = target.upstream.software_version
 
         async def release(is_complete: bool) -> None:
             seconds = self._clock.monotonic() - started
@@ -315,7 +318,7 @@
                 self._record_route_time(call, answer, started)
 
         if not is_event_stream(answer.head) or answer.head.status >= 300:
-            buffered = await buffer_answer(target.name, call, answer)
+            buffered = await buffer_answer(target.name, call, answer, version)
             await attempt.head_received()
             if answer.is_close_delimited:
                 await attempt.connection_ended()
@@ -341,7 +344,7 @@
             reporter,
             needs_event=needs_event,
         )
-        return ReleasingAnswer(stream, (), release)
+        return ReleasingAnswer(stream, (), release, version)
 
     def _head_timeout(self, target: Target, call: Call) -> float:
         if call.kind is CallKind.MODEL:
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -154,10 +154,14 @@
 
 
 class BufferedAnswer:
-    """An answer that is held in memory."""
+    """An answer that is held in memory.
 
-    def __init__(self, head: ResponseHead, body: bytes):
+    `software_version` is that of the replica that wrote it, "" if it is unknown.
+    """
+
+    def __init__(self, head: ResponseHead, body: bytes, software_version: str = ""):
         self.head = head
+        self.software_version = software_version
         self._body = body
 
     async def read(self) -> bytes:
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -41,6 +41,7 @@
     Refuse,
     Request,
     Response,
+    RouteAnswerHead,
     RouteHeartbeat,
     RouteHeartbeatReply,
     RouteOffer,
@@ -120,11 +121,12 @@
     82: FeedRequest,
     83: FeedChanges,
     84: ManifestDocument,
-    # 85 was RouteOffer without a software version.
+    # 85 was RouteOffer without a software version; its answer began with an AnswerHead.
     86: RouteHeartbeat,
     87: RouteHeartbeatReply,
     88: PlacementRequest,
     89: RouteOffer,
+    90: RouteAnswerHead,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -37,6 +37,7 @@
     Hello,
     Offer,
     Refuse,
+    RouteAnswerHead,
     RouteOffer,
 )
 
@@ -59,7 +60,8 @@
 class ForwardedAnswer:
     """The answer to a forwarded call, read while it arrives.
 
-    `peer` is the name of the host that answers.
+    `peer` is the name of the host that answers. `software_version` is that of the
+    replica that writes the answer, "" if it is unknown.
     """
 
     def __init__(
@@ -70,8 +72,10 @@
         pool: "CallConnectionPool",
         clock: Clock,
         expires: float | None,
+        software_version: str = "",
     ):
         self.head = head
+        self.software_version = software_version
         self._peer = peer
         self._conn = conn
         self._pool = pool
@@ -218,9 +222,10 @@
         if isinstance(head, Refuse):
             await pool.release(conn)
             raise message_to_refusal(head)
-        if not isinstance(head, AnswerHead):
+        if not isinstance(head, AnswerHead | RouteAnswerHead):
             await conn.channel.close()
             raise self._unknown_outcome(call, host, "unexpected message")
+        version = head.software_version if isinstance(head, RouteAnswerHead) else ""
         return ForwardedAnswer(
             host.name,
             ResponseHead(head.status, head.headers),
@@ -228,6 +233,7 @@
             pool,
             self._clock,
             self._answer_expires(call),
+            version,
         )
 
     def _answer_expires(self, call: Call) -> float | None:
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -96,7 +96,7 @@
 
 
 class Refuse(NamedTuple):
-    """The call ends without an answer; sent instead of Accept or AnswerHead.
+    """The call ends without an answer; sent instead of Accept or a head.
 
     `retry_after` is in seconds; a negative value means that there is none.
     """
@@ -126,6 +126,17 @@
     headers: Headers
 
 
+class RouteAnswerHead(NamedTuple):
+    """The status and headers of an answer to a call of a route.
+
+    `software_version` is that of the replica that writes the answer.
+    """
+
+    status: int
+    headers: Headers
+    software_version: str
+
+
 class AnswerData(NamedTuple):
     """A part of an answer's body."""
 
@@ -324,7 +335,7 @@
     both in seconds, as are `needed_within` and `run_seconds`, which say how long the
     receiver must stay (see core.types.Call). The call runs only at replicas with
     `software_version`, or at any if that is empty. The body follows without waiting for
-    Accept.
+    Accept. The answer begins with a RouteAnswerHead.
     """
 
     call_id: str
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -44,6 +44,7 @@
     Hello,
     ManifestDocument,
     Offer,
+    RouteAnswerHead,
     RouteOffer,
 )
 from sassafraskeel.gateways.route_forwarding import route_offer_to_call
@@ -211,7 +212,10 @@
     async def _relay(self, channel: Channel, record: CallRecord, answer) -> None:
         record.outcome = Outcome.UNKNOWN
         record.served_by = find_header(answer.head.headers, SERVED_BY_HEADER)
-        await channel.send(AnswerHead(answer.head.status, answer.head.headers))
+        head = AnswerHead(*answer.head)
+        if record.call.route_policy is not None:
+            head = RouteAnswerHead(*answer.head, answer.software_version)
+        await channel.send(head)
         while data := await self._read_answer(channel, answer, record):
             for start in range(0, len(data), MAX_PART_BYTES):
                 await channel.send(AnswerData(data[start : start + MAX_PART_BYTES]))
--- a/tests/test_forwarded_versions.py
+++ b/tests/test_forwarded_versions.py
@@ -4,20 +4,23 @@
 
 from sassafraskeel.calls.attempts import AttemptHistory
 from sassafraskeel.core.errors import (
+    ProtocolError,
     Reason,
     Refusal,
 )
 from sassafraskeel.gateways.codec import decode, encode
-from sassafraskeel.gateways.messages import PlacementRequest
+from sassafraskeel.gateways.messages import PlacementRequest, RouteAnswerHead
 from sassafraskeel.gateways.placement_server import request_to_call
 from sassafraskeel.gateways.route_forwarding import (
     call_to_route_offer,
     encode_route_policy,
     route_offer_to_call,
 )
+from tests.support.offers import dial_host, send_offer
 from tests.support.routes import with_routes
 from tests.support.versions import TWO_REGIONS, bind, call, runs, set_versions
 from tests.test_coordination import others
+from tests.test_route_host import drain_stream, events
 
 FOUR_REPLICAS = ("north-a",) * 4
 
@@ -112,3 +115,43 @@
         now = world.clock.monotonic()
         for replica in world.replicas:
             self.assertEqual(coordinator.loads.total(replica.name, now).running, 0)
+
+
+class AnswerTest(TestCase):
+    """Answers that tell which version wrote them."""
+
+    def record_versions(self, host):
+        """Return a list that gets the version of each answer of a host."""
+        run, versions = host.dispatcher.run, []
+
+        async def run_recorded(call, body):
+            answer = await run(call, body)
+            versions.append(answer.software_version)
+            return answer
+
+        host.dispatcher.run = run_recorded
+        return versions
+
+    @with_routes(world_options=TWO_REGIONS)
+    async def test_version_of_the_answer(self, world):
+        """Guards against a stream whose version its host doesn't learn."""
+        await set_versions(world, "", "", "v7", "v7")
+        for host in (0, 1):
+            versions = self.record_versions(world.hosts[host])
+            conn = await world.open_call("/stream/chat/1", host=host)
+            body, _ = await drain_stream(conn)
+            self.assertEqual(events(body), [1, 2, 3, 4, 5])
+            await world.call("/read/1", host=host)
+            self.assertEqual(versions, ["v7", "v7"])
+
+    @with_routes
+    async def test_answer_between_hosts(self, world):
+        """Guards against a forwarded answer without the version of its replica."""
+        channel = await dial_host(world, world.hosts[0])
+        await send_offer(world, channel, "c-1")
+        await channel.receive()
+        head = await channel.receive()
+        self.assertIsInstance(head, RouteAnswerHead)
+        self.assertEqual((head.status, head.software_version), (200, "v1"))
+        with self.assertRaises(ProtocolError):
+            decode(encode(head._replace(software_version=1)))
