Keep evidence of the software versions that a service had

A host that is asked to take a stream up, and finds nobody who knows at which version it began, may go on only if the service verifiably had a single version. VersionHistory records the versions of all listed replicas of all regions and shows a version if no other one was listed for a given time. A batch of changes from the coordinator says how old the store's answer is, so that a coordinator that has just lost the store proves nothing.

--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -47,6 +47,7 @@
     ServiceSpec,
 )
 from sassafraskeel.decisions.silence import SilenceDetector
+from sassafraskeel.decisions.version_history import VersionHistory
 from tools.route_cluster import RouteCluster
 
 FLEETS = ((9, 5), (65, 32), (195, 35), (410, 80))
@@ -87,6 +88,7 @@
         lambda name, now: 1.0,
         ReplicaStatements(),
         CallCosts(),
+        VersionHistory(),
     )
 
 
--- a/sassafraskeel/calls/routing_state.py
+++ b/sassafraskeel/calls/routing_state.py
@@ -15,6 +15,7 @@
 from sassafraskeel.decisions.region_loads import RegionLoads
 from sassafraskeel.decisions.replica_statements import ReplicaStatements
 from sassafraskeel.decisions.silence import SilenceDetector
+from sassafraskeel.decisions.version_history import VersionHistory
 
 # Replicas passed over that the log names for a call.
 MAX_PASSED_OVER = 4
@@ -26,7 +27,7 @@
     `service_times` says how long calls hold a slot, and `route_times` how long those of
     a route last, with those that were forwarded. `rate_share` returns the share of a
     replica's rate that the local host may use while the replica is cold or names a
-    limit, 0 for none.
+    limit, 0 for none. `versions` tells which software versions the replicas had.
     """
 
     fleet: Fleet
@@ -43,6 +44,7 @@
     rate_share: Callable[[str, float], float]
     statements: ReplicaStatements
     call_costs: CallCosts
+    versions: VersionHistory
 
     def accepts_work(self, replica: Replica, now: float) -> bool:
         """Return whether a replica takes new work by its entry and by its answers."""
--- a/sassafraskeel/gateways/store_feed.py
+++ b/sassafraskeel/gateways/store_feed.py
@@ -122,7 +122,8 @@
         if reply.age > MAX_FEED_AGE_SECONDS:
             raise ProtocolError(f"the feed is {reply.age:.1f} s old")
         changes = decode_changes(reply.changes, reply.era)
-        return ChangeBatch(changes, StoreRevision(reply.era, reply.revision))
+        revision = StoreRevision(reply.era, reply.revision)
+        return ChangeBatch(changes, revision, max(reply.age, 0.0))
 
 
 class FeedServer:
@@ -154,10 +155,12 @@
             return _refuse(HISTORY_LOST_DETAIL)
         except PlatformUnavailable as exc:
             return _refuse(str(exc))
-        changes, (era, number) = limit_batch(batch)
+        batch = limit_batch(batch)
         rows = [
-            [change.key, change.value, change.revision.number] for change in changes
+            [change.key, change.value, change.revision.number]
+            for change in batch.changes
         ]
+        era, number = batch.revision
         return FeedChanges(era, rows, number, self._store_age() or 0.0)
 
 
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -39,6 +39,7 @@
 from sassafraskeel.decisions.replica_statements import ReplicaStatements
 from sassafraskeel.decisions.shared_retry_budget import SharedRetryBudget
 from sassafraskeel.decisions.silence import SilenceDetector
+from sassafraskeel.decisions.version_history import VersionHistory
 from sassafraskeel.gateways.drain_notice import notify_peers
 from sassafraskeel.gateways.heartbeats import HeartbeatState, RouteHeartbeats
 from sassafraskeel.gateways.link_manager import LinkManager
@@ -152,6 +153,7 @@
             self.coordination.rate_share,
             ReplicaStatements(),
             CallCosts(),
+            VersionHistory(),
         )
         self._build_store_tasks()
         self._build_forwarder()
@@ -183,6 +185,7 @@
             self.fleet,
             self.hosts,
             self.crashes,
+            self._routing_state.versions,
             env.clock,
             env.log,
             self._on_store_change,
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -15,6 +15,7 @@
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
 from sassafraskeel.decisions.fleet import LAPSE_GRACE_SECONDS, Fleet
 from sassafraskeel.decisions.hosts import HostTable
+from sassafraskeel.decisions.version_history import VersionHistory
 from sassafraskeel.store.feed import ChangeFeed
 from sassafraskeel.store.interface import (
     NO_ERA,
@@ -63,6 +64,7 @@
         fleet: Fleet,
         hosts: HostTable,
         crashes: CrashEvidence,
+        versions: VersionHistory,
         clock: Clock,
         log: LogSink,
         on_change: OnChange,
@@ -74,6 +76,7 @@
         self._fleet = fleet
         self._hosts = hosts
         self._crashes = crashes
+        self._versions = versions
         self._clock = clock
         self._log = log
         self._on_change = on_change
@@ -117,6 +120,7 @@
         self._revision = batch.revision
         self._record_answer()
         now = self._clock.monotonic()
+        self._versions.restart(now)
         has_installed = False
         if not self._fleet.version and batch.revision.era != NO_ERA:
             # The store may have been restored to an older manifest than peers have.
@@ -134,9 +138,7 @@
             elif isinstance(update, CrashTableListed):
                 crash_tables.add(update.host)
         for name in self._fleet.retain(replicas, now):
-            self._log.emit(
-                Event.REPLICA_GONE, replica=name, **batch.revision.log_fields()
-            )
+            self._record_gone(name, batch.revision, now)
         self._fleet.retain_evacuated(zones, now)
         registered = {host.name for host in self._hosts.registered()}
         self._unlisted_hosts = registered - hosts
@@ -154,6 +156,7 @@
         now = self._clock.monotonic()
         for change in batch.changes:
             self._apply(change, now)
+        self._versions.answered(now - batch.age)
         self._expire(batch.revision, now)
         self._revision = max(batch.revision, self._revision)
         await self.feed.add(batch)
@@ -164,7 +167,7 @@
     def _expire(self, revision: StoreRevision, now: float) -> None:
         """Drop what a restored or recovered store has not listed again in time."""
         for name in self._fleet.expire(now):
-            self._log.emit(Event.REPLICA_GONE, replica=name, **revision.log_fields())
+            self._record_gone(name, revision, now)
         for zone in self._fleet.ended_evacuations(now):
             self._apply_evacuation(ZoneEvacuationChanged(zone, False), revision, now)
         if now >= self._hosts_kept_until:
@@ -260,10 +263,11 @@
 
     def _apply_replica(self, update: ReplicaListed | ReplicaRemoved, revision, now):
         if isinstance(update, ReplicaRemoved):
-            if self._fleet.remove(update.name, now):
-                self._log.emit(
-                    Event.REPLICA_GONE, replica=update.name, **revision.log_fields()
-                )
+            if self._fleet.get(update.name) is None:
+                # It was listed and removed again between two answers.
+                self._versions.gap(now)
+            elif self._fleet.remove(update.name, now):
+                self._record_gone(update.name, revision, now)
             return
         replica = update.replica
         if self._fleet.is_outdated(replica):
@@ -276,6 +280,7 @@
             )
             return
         previous = self._fleet.update(replica)
+        self._versions.listed(replica, now)
         if previous is None or (previous.started_at_ms, previous.draining) != (
             replica.started_at_ms,
             replica.draining,
@@ -291,6 +296,10 @@
                 **revision.log_fields(),
             )
 
+    def _record_gone(self, name: str, revision: StoreRevision, now: float) -> None:
+        self._versions.dropped(name, now)
+        self._log.emit(Event.REPLICA_GONE, replica=name, **revision.log_fields())
+
     def _unregister(self, name: str, revision: StoreRevision) -> None:
         if self._hosts.unregister(name):
             self._log_host(name, "", revision)
--- a/sassafraskeel/store/interface.py
+++ b/sassafraskeel/store/interface.py
@@ -40,10 +40,15 @@
 
 
 class ChangeBatch(NamedTuple):
-    """Changes of one era, and the revision up to which they are complete."""
+    """Changes of one era, and the revision up to which they are complete.
+
+    `age` is the time in seconds since the store's last answer to the host that passed
+    the changes on, 0 for the answer of the store itself.
+    """
 
     changes: tuple[Change, ...]
     revision: StoreRevision
+    age: float = 0.0
 
 
 class Store(Protocol):
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -43,6 +43,7 @@
     TrafficShare,
 )
 from sassafraskeel.decisions.silence import SilenceDetector
+from sassafraskeel.decisions.version_history import VersionHistory
 
 ADDRESS = Address("10.0.0.1", 80)
 REGIONS = {"a": "north"}
@@ -199,6 +200,7 @@
             lambda name, now: 1.0,
             ReplicaStatements(),
             CallCosts(),
+            VersionHistory(),
         )
 
     async def exchange_loads(self):
