Pass the times of routes to the bench of route costs

RoutingState has had one more field since the times of routes are kept, so that the bench ended with a TypeError before its first figure.

--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -82,6 +82,7 @@
         Health(1.0),
         ColdPacer(),
         ServiceTimes(),
+        ServiceTimes(),
         RecentForwards(),
         SilenceDetector(),
         RegionLoads(),
