Name features in the hello of the accepting end of a link

A host closes a control link on which it gets a message that it does not know. Its peer dials again and sends the next one, so that during a rolling upgrade hosts would lose the coordinator again and again. The accepting end repeated the purpose of the dialling end in its hello, and no version reads it there. It now adds the names of features, which ControlLink keeps; hosts of earlier versions name none.

Its test of the features fails if the accepting end leaves them out.

--- a/sassafraskeel/gateways/channel.py
+++ b/sassafraskeel/gateways/channel.py
@@ -176,13 +176,14 @@
     """Accept a channel and exchange hellos; return the channel and the peer's hello.
 
     The local hello contains the token, so it is sent only after the peer's token has
-    been checked.
+    been checked. Its purpose is that of the peer, and the local features.
     """
     channel = Channel(stream, ServerProtocol(max_size=MAX_MESSAGE_BYTES))
     try:
         await channel.open_as_server()
         peer = await _receive_hello(channel, hello.token)
-        await channel.send(hello._replace(purpose=peer.purpose))
+        purpose = f"{peer.purpose} {hello.purpose}".strip()
+        await channel.send(hello._replace(purpose=purpose))
         return channel, peer
     except BaseException:
         await channel.close()
--- a/sassafraskeel/gateways/control_link.py
+++ b/sassafraskeel/gateways/control_link.py
@@ -41,13 +41,21 @@
 class ControlLink:
     """The dialling end of a control link; `serial` is unique in the process.
 
-    One task runs `read_responses` and one `run_outbox`; any task may call `request`
-    and `notify`.
+    `features` are the optional features that the peer named in its hello. One task runs
+    `read_responses` and one `run_outbox`; any task may call `request` and `notify`.
     """
 
-    def __init__(self, channel: Channel, peer: HostInfo, clock: Clock, serial: int = 0):
+    def __init__(
+        self,
+        channel: Channel,
+        peer: HostInfo,
+        clock: Clock,
+        serial: int = 0,
+        features: frozenset[str] = frozenset(),
+    ):
         self.peer = peer
         self.serial = serial
+        self.features = features
         self.pinged_at = 0.0
         self._channel = channel
         self._outbox = Outbox(channel)
--- a/sassafraskeel/gateways/link_manager.py
+++ b/sassafraskeel/gateways/link_manager.py
@@ -246,7 +246,10 @@
         hello = Hello(local_host, self._cfg.token, self._sheet_version(), "control")
         async with self._clock.timeout(self._cfg.connect_timeout.total_seconds()):
             channel, peer = await dial(self._network, address, hello)
-        return ControlLink(channel, peer.host, self._clock, next(self._serials))
+        features = frozenset(peer.purpose.split()[1:])
+        return ControlLink(
+            channel, peer.host, self._clock, next(self._serials), features
+        )
 
     async def _run(
         self, link: ControlLink, address: Address, local_host: HostInfo
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -14,7 +14,9 @@
     """The first message on a connection, sent by both ends.
 
     `purpose` is "control", "calls" or "manifest"; to the last one, the accepting end
-    answers with a ManifestDocument after its hello.
+    answers with a ManifestDocument after its hello. In the hello of the accepting end,
+    names of features follow: messages that hosts of earlier versions do not know, and
+    that end a link to them.
     """
 
     host: HostInfo
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -62,6 +62,7 @@
     """The parts of a host that serve the requests of other hosts.
 
     `manifest` returns the document of the manifest in force, b"" if there is none.
+    `features` are the names in hellos, separated by spaces (see messages.Hello).
     """
 
     dispatcher: CallDispatcher
@@ -69,6 +70,7 @@
     recorder: CallRecorder
     requests: RequestHandler
     manifest: Callable[[], bytes] = bytes
+    features: str = ""
 
 
 class GatewayServer:
@@ -140,7 +142,12 @@
             await stream.close()
 
     async def _serve(self, stream: WatchedStream) -> None:
-        hello = Hello(self._local_host, self._cfg.token, self._sheet_version(), "")
+        hello = Hello(
+            self._local_host,
+            self._cfg.token,
+            self._sheet_version(),
+            self._components.features,
+        )
         try:
             async with self._clock.timeout(self._cfg.connect_timeout.total_seconds()):
                 channel, peer = await accept_channel(stream, hello)
--- a/tests/test_gateways_server.py
+++ b/tests/test_gateways_server.py
@@ -119,6 +119,18 @@
             world.hosts[2]._gateway_server._open_connections, self.initial_connections
         )
 
+    @with_world
+    async def test_features(self, world):
+        """Guards against features that the dialling end does not learn of."""
+        server = world.hosts[2]._gateway_server
+        hello = Hello(UNKNOWN_HOST, "gateway-token", 1, "control")
+        address = world.hosts[2].membership.local_host.gateways
+        for features, purpose in (("", "control"), ("one two", "control one two")):
+            server._components = server._components._replace(features=features)
+            channel, reply = await dial(world.network, address, hello)
+            self.assertEqual(reply.purpose, purpose)
+            await channel.close()
+
     @with_world
     async def test_wrong_tokens_and_messages(self, world):
         """Guards against peers without the token or that violate the protocol."""
