Tell other hosts where streams began, and ask them

Only the host that had begun a stream could know its software version, so that a caller that takes it up elsewhere, or after that host has died, had to be refused. Hosts now send the origins of streams in batches to the coordinator of their region, which passes them on to its standby and to the coordinator of the next region, and that one to its own standby. A new coordinator gets what was sent in the last 3 s again, and a new standby all that is known. A lookup asks coordinator and standby, and the coordinator those of the other regions; it ends within 0.5 s. Hosts of earlier versions get none of these messages.

--- a/sassafraskeel/core/metrics.py
+++ b/sassafraskeel/core/metrics.py
@@ -50,6 +50,12 @@
     "log_events_dropped": "Log events dropped by the rate limit.",
     "long_turns": "Turns in which one task kept all others waiting for over 0.1 s.",
     "longest_turn_seconds": "The longest of these turns since the start.",
+    "stream_origins": "Streams whose software version the host knows.",
+    "stream_origins_unsent": "Streams that other hosts were not told of: queue full.",
+    "stream_lookups_local": "Lookups of streams that the host knew itself.",
+    "stream_lookups_region": "Lookups answered by a host of the region.",
+    "stream_lookups_other_region": "Lookups answered by another region.",
+    "stream_lookups_unknown": "Lookups that found no single origin.",
 }
 
 
--- a/sassafraskeel/gateways/codec.py
+++ b/sassafraskeel/gateways/codec.py
@@ -49,6 +49,9 @@
     SheetDelta,
     SheetRequest,
     SheetStatus,
+    StreamFound,
+    StreamLookup,
+    StreamsBegan,
     SummaryPull,
     SummaryPush,
     ViewReply,
@@ -127,6 +130,9 @@
     88: PlacementRequest,
     89: RouteOffer,
     90: RouteAnswerHead,
+    100: StreamsBegan,
+    101: StreamLookup,
+    102: StreamFound,
 }
 MESSAGE_NUMBERS = {
     message_type: number for number, message_type in MESSAGE_TYPES.items()
--- a/sassafraskeel/gateways/messages.py
+++ b/sassafraskeel/gateways/messages.py
@@ -429,6 +429,44 @@
     text: str
 
 
+class StreamsBegan(NamedTuple):
+    """Tells at which software versions streams began; it is sent as a Notice.
+
+    `scope` is a value of gateways.stream_origins.Scope and says to whom the receiver
+    passes it on. A row of `groups` holds a service, a software version, the remaining
+    seconds for which the streams are to be remembered, and the list of their ids. An id
+    of hexadecimal digits is sent as the bytes that they encode. Both names are empty if
+    the origins that were recorded for the streams differ.
+    """
+
+    scope: int
+    groups: list
+
+
+class StreamLookup(NamedTuple):
+    """Asks at which software version a stream began; answered by StreamFound.
+
+    With `other_regions`, the receiver may ask the coordinators of other regions.
+    """
+
+    stream_id: str
+    other_regions: bool
+
+
+class StreamFound(NamedTuple):
+    """The reply to StreamLookup.
+
+    `seconds` is the remaining time of the entry, 0 if the stream is unknown. Both names
+    are empty if it is unknown, or if different origins were recorded. `region` is that
+    of the host that had the entry.
+    """
+
+    service: str
+    software_version: str
+    seconds: int
+    region: str
+
+
 class Request(NamedTuple):
     """The envelope of a request on a control link.
 
--- /dev/null
+++ b/sassafraskeel/gateways/stream_origins.py
@@ -0,0 +1,399 @@
+"""Tells other hosts at which software version streams began, and asks them for it."""
+
+import math
+from collections import Counter, deque
+from collections.abc import Iterable, Iterator
+from itertools import chain, islice
+from typing import NamedTuple
+
+import curio
+
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import SassafraskeelError, TimedOut
+from sassafraskeel.core.events import Event
+from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.core.types import HostInfo
+from sassafraskeel.decisions.coordination import Coordination
+from sassafraskeel.decisions.hosts import HostTable
+from sassafraskeel.decisions.stream_origins import (
+    CONFLICTING,
+    StreamOrigin,
+    StreamOrigins,
+    StreamRecord,
+    choose_partner,
+    is_valid_id,
+)
+from sassafraskeel.gateways.control_link import ControlLink
+from sassafraskeel.gateways.link_manager import LinkManager
+from sassafraskeel.gateways.messages import StreamFound, StreamLookup, StreamsBegan
+from sassafraskeel.gateways.stream_rows import (
+    MAX_ROWS,
+    Scope,
+    decode_streams,
+    encode_streams,
+)
+
+FEATURE = "stream-origins"
+# A host that dies loses what it queued within this time. Shorter batches name the same
+# origins more often, and cost the coordinator of a large region more messages.
+BATCH_SECONDS = 0.1
+# A coordinator sends the streams of its region to two hosts. If it dies, the hosts send
+# those of the last seconds to the next one, so that it loses only its own.
+RELAY_SECONDS = 0.25
+MAX_QUEUED = 4096
+# A peer that has stopped answering is replaced within this time, and what was sent to
+# it meanwhile may be lost.
+RESEND_SECONDS = 3.0
+# Links are checked for new ones at this interval while nothing is queued.
+LINK_CHECK_SECONDS = 1.0
+LOOKUP_TIMEOUT_SECONDS = 0.5
+# Time for other regions, so that their answers are in time for the host that asks.
+REGIONS_TIMEOUT_SECONDS = 0.4
+MAX_LOOKUPS = 1024
+
+
+class _Entry(NamedTuple):
+    """A stream to be sent; `source` is the host from which it came."""
+
+    stream_id: str
+    scope: Scope
+    source: str
+
+
+class _Target(NamedTuple):
+    """A host that gets entries, with the scope that other hosts' entries get.
+
+    `own_scope` is for the entries of the local host. An entry whose scope is below
+    `min_scope` is not sent.
+    """
+
+    link: ControlLink
+    own_scope: Scope
+    other_scope: Scope
+    min_scope: Scope
+
+
+class _Lookup:
+    """Requests that are under way for one stream.
+
+    `regions` are the regions of the hosts that know it, in the order of their answers.
+    """
+
+    def __init__(self, pending: int):
+        self.pending = pending
+        self.regions: list[str] = []
+        self.done = curio.Event()
+
+
+class StreamOriginExchange:
+    """Spreads the origins of streams over the fleet, and looks them up there.
+
+    A host sends its streams to the coordinator of its region, which sends them to its
+    standby and to the coordinator of one other region; that one sends them to its own
+    standby. Only streams that a receiver did not know are passed on. A lost message
+    costs a refusal.
+
+    At MAX_QUEUED entries to be sent, further ones are recorded only; at MAX_LOOKUPS
+    lookups under way, further ones find nothing. A host of an earlier version closes a
+    link on which it gets an unknown message, so that only peers that name FEATURE in
+    their hello get any.
+
+    One task runs `run`. A host that is coordinator or standby sends the other one all
+    it knows when the link between them is new, MAX_ROWS in each batch; other targets
+    get what was queued within the last RESEND_SECONDS.
+    """
+
+    def __init__(
+        self,
+        links: LinkManager,
+        coordination: Coordination,
+        hosts: HostTable,
+        clock: Clock,
+        log: LogSink,
+        group: SupervisedTaskGroup,
+    ):
+        self.origins = StreamOrigins()
+        self._links = links
+        self._coordination = coordination
+        self._hosts = hosts
+        self._clock = clock
+        self._log = log
+        self._group = group
+        self._queue: list[_Entry] = []
+        self._recent: deque[tuple[float, _Entry]] = deque(maxlen=MAX_QUEUED)
+        # Entries for links that were not in use before, by the links' serial numbers.
+        self._backlogs: dict[int, Iterator[_Entry]] = {}
+        self._filled = curio.Event()
+        self._lookups: dict[StreamLookup, _Lookup] = {}
+        self._counts = Counter()
+
+    async def began(self, stream_id: str, origin: StreamOrigin, expires: float) -> None:
+        """Record where a stream of the local host began, and queue it for the others.
+
+        `expires` is when it may be forgotten, in monotonic seconds.
+        """
+        if origin == CONFLICTING:
+            return
+        now = self._clock.monotonic()
+        if self.origins.record(stream_id, origin, expires, now):
+            name = self._hosts.local_host.name
+            await self._enqueue(_Entry(stream_id, Scope.STANDBY_AND_REGION, name), now)
+
+    async def find(self, stream_id: str) -> StreamOrigin | None:
+        """Return where a stream began; None if no host knows it, or they disagree.
+
+        Returns within LOOKUP_TIMEOUT_SECONDS.
+        """
+        if not is_valid_id(stream_id):
+            return None
+        now = self._clock.monotonic()
+        record = self.origins.get(stream_id, now)
+        links, found_in = [], "local"
+        if record is None:
+            links = self._region_links(now)
+            message = StreamLookup(stream_id, other_regions=True)
+            region_links = self._other_regions_links(now)
+            record, found_in = await self._ask(
+                message, links, region_links, LOOKUP_TIMEOUT_SECONDS
+            )
+            links += region_links
+        if record is not None and record.origin != CONFLICTING:
+            self._counts[found_in] += 1
+            return record.origin
+        self._counts["unknown"] += 1
+        self._log.emit(
+            Event.STREAM_ORIGIN_UNKNOWN,
+            stream=stream_id,
+            cause="unknown" if record is None else "conflicting",
+            asked=" ".join(link.peer.name for link in links),
+        )
+        return None
+
+    def gauges(self) -> dict[str, float]:
+        """Return the values of the metrics."""
+        counts = self._counts
+        return {
+            "stream_origins": len(self.origins),
+            "stream_origins_unsent": counts["unsent"],
+            "stream_lookups_local": counts["local"],
+            "stream_lookups_region": counts["region"],
+            "stream_lookups_other_region": counts["other_region"],
+            "stream_lookups_unknown": counts["unknown"],
+        }
+
+    async def record_streams(self, peer: HostInfo, message: StreamsBegan) -> None:
+        """Record the streams that a peer names, and pass on those that are new."""
+        now = self._clock.monotonic()
+        scope, rows = decode_streams(message, now)
+        if self._hosts.region_of(peer) != self._local_region():
+            scope = min(scope, Scope.STANDBY)
+        for stream_id, record in rows:
+            changed = self.origins.record(stream_id, *record, now)
+            if changed and scope is not Scope.RECORD:
+                await self._enqueue(_Entry(stream_id, scope, peer.name), now)
+        # A peer that sends without a pause would keep all other tasks waiting.
+        await curio.sleep(0)
+
+    async def answer(self, peer: HostInfo, message: StreamLookup) -> StreamFound:
+        """Return what this host knows of a stream, or what other regions know."""
+        now = self._clock.monotonic()
+        record, region = self.origins.get(message.stream_id, now), self._local_region()
+        if record is None and message.other_regions and is_valid_id(message.stream_id):
+            links = self._other_regions_links(now)
+            wanted = message._replace(other_regions=False)
+            record, _ = await self._ask(wanted, [], links, REGIONS_TIMEOUT_SECONDS)
+            region, now = "", self._clock.monotonic()
+        if record is None or record.expires <= now:
+            return StreamFound(*CONFLICTING, 0, "")
+        return StreamFound(*record.origin, math.ceil(record.expires - now), region)
+
+    async def run(self) -> None:
+        """Send queued streams in batches; never returns."""
+        while True:
+            try:
+                async with self._clock.timeout(LINK_CHECK_SECONDS):
+                    await self._filled.wait()
+            except TimedOut:
+                pass  # Links may be new.
+            self._filled.clear()
+            now = self._clock.monotonic()
+            await self._flush(self._targets(now), now)
+            is_relay = self._upstream(now) is None
+            await self._clock.sleep(RELAY_SECONDS if is_relay else BATCH_SECONDS)
+
+    async def _enqueue(self, entry: _Entry, now: float) -> None:
+        if len(self._queue) >= MAX_QUEUED:
+            self._counts["unsent"] += 1
+            return
+        self._queue.append(entry)
+        self._recent.append((now, entry))
+        await self._filled.set()
+
+    async def _flush(self, targets: list[_Target], now: float) -> None:
+        self._add_backlogs(targets, now)
+        queue, self._queue = self._queue, []
+        for target in targets:
+            backlog = list(islice(self._backlogs[target.link.serial], MAX_ROWS))
+            if len(backlog) == MAX_ROWS:
+                await self._filled.set()
+            for message in self._messages(target, backlog + queue, now):
+                try:
+                    await target.link.notify(message)
+                except SassafraskeelError:
+                    break  # The link manager logs the loss; a new link gets a backlog.
+                # To encode a message of MAX_ROWS takes about a millisecond.
+                await curio.sleep(0)
+
+    def _messages(
+        self, target: _Target, entries: list[_Entry], now: float
+    ) -> Iterable[StreamsBegan]:
+        local, receiver = self._hosts.local_host.name, target.link.peer.name
+        ids: dict[Scope, dict[str, None]] = {}
+        for entry in entries:
+            if entry.scope >= target.min_scope and entry.source != receiver:
+                own = entry.source == local
+                scope = target.own_scope if own else target.other_scope
+                ids.setdefault(scope, {})[entry.stream_id] = None
+        for scope, names in ids.items():
+            remaining = iter(names)
+            while batch := list(islice(remaining, MAX_ROWS)):
+                records = {name: self.origins.get(name, now) for name in batch}
+                message = encode_streams(scope, records, now)
+                if message.groups:
+                    yield message
+
+    def _add_backlogs(self, targets: list[_Target], now: float) -> None:
+        backlogs = {}
+        for target in targets:
+            serial = target.link.serial
+            known = self._backlogs.get(serial)
+            backlogs[serial] = known or self._new_backlog(target, now)
+        self._backlogs = backlogs
+
+    def _new_backlog(self, target: _Target, now: float) -> Iterator[_Entry]:
+        """Return what a host that has just become a target may lack."""
+        queued = set(self._queue)
+        recent = [
+            entry
+            for queued_at, entry in self._recent
+            if now - queued_at <= RESEND_SECONDS and entry not in queued
+        ]
+        candidates = self._coordination.candidates(self._local_region(), now)
+        pair = {self._hosts.local_host.name, target.link.peer.name}
+        if not pair <= {host.name for host in candidates}:
+            return iter(recent)
+        ids = self.origins.ids()
+        return chain(recent, (_Entry(stream_id, Scope.RECORD, "") for stream_id in ids))
+
+    def _targets(self, now: float) -> list[_Target]:
+        """Return the coordinator, or the hosts to which this coordinator sends."""
+        record, relay = Scope.RECORD, Scope.STANDBY_AND_REGION
+        upstream = self._upstream(now)
+        if upstream is not None:
+            return [_Target(upstream, relay, record, record)]
+        targets = [
+            _Target(link, record, record, record) for link in self._region_links(now)
+        ]
+        others = self._other_regions_links(now)
+        by_region = {self._hosts.region_of(link.peer): link for link in others}
+        if by_region:
+            partner = by_region[choose_partner(self._local_region(), list(by_region))]
+            targets.append(_Target(partner, Scope.STANDBY, Scope.STANDBY, relay))
+        return targets
+
+    def _upstream(self, now: float) -> ControlLink | None:
+        """Return the link to the coordinator, or to its standby without one.
+
+        It is None if the local host coordinates, or has to because it reaches neither.
+        While it drains, the other hosts of the region use the next coordinator.
+        """
+        local_host = self._hosts.local_host
+        first = self._coordination.candidates(self._local_region(), now)[0]
+        drains = self._hosts.draining_since(local_host) is not None
+        links = self._region_links(now)
+        if not links or (first.name == local_host.name and not drains):
+            return None
+        return links[0]
+
+    def _region_links(self, now: float) -> list[ControlLink]:
+        """Return the links to the coordinator and to its standby, in this order."""
+        return self._usable(self._coordination.candidates(self._local_region(), now))
+
+    def _other_regions_links(self, now: float) -> list[ControlLink]:
+        """Return the links to coordinators of other regions; only one has any."""
+        coordinators = [
+            self._coordination.candidates(region, now)[:1]
+            for region in self._hosts.regions(now)
+        ]
+        return self._usable([host for hosts in coordinators for host in hosts])
+
+    def _usable(self, hosts: list[HostInfo]) -> list[ControlLink]:
+        return [
+            link
+            for host in hosts
+            if (link := self._links.link(host.name)) is not None
+            and link.peer.incarnation == host.incarnation
+            and FEATURE in link.features
+        ]
+
+    def _local_region(self) -> str:
+        return self._hosts.region_of(self._hosts.local_host)
+
+    async def _ask(
+        self,
+        message: StreamLookup,
+        links: list[ControlLink],
+        region_links: list[ControlLink],
+        seconds: float,
+    ) -> tuple[StreamRecord | None, str]:
+        """Ask hosts at the same time, until one knows the stream or all have answered.
+
+        Returns its record and "region" or "other_region". Hosts on `region_links` ask
+        no further ones. Lookups of the same stream share their requests.
+        """
+        lookup = self._lookups.get(message)
+        if lookup is None:
+            narrow = message._replace(other_regions=False)
+            requests = [(link, message) for link in links]
+            requests += [(link, narrow) for link in region_links]
+            if len(self._lookups) >= MAX_LOOKUPS or not requests:
+                return None, ""
+            lookup = self._lookups[message] = _Lookup(len(requests))
+            for link, sent in requests:
+                await self._group.spawn(
+                    self._request, lookup, message, link, sent, seconds
+                )
+        await lookup.done.wait()
+        if not lookup.regions:
+            return None, ""
+        record = self.origins.get(message.stream_id, self._clock.monotonic())
+        in_region = lookup.regions[0] == self._local_region()
+        return record, "region" if in_region else "other_region"
+
+    async def _request(
+        self,
+        lookup: _Lookup,
+        key: StreamLookup,
+        link: ControlLink,
+        message: StreamLookup,
+        seconds: float,
+    ) -> None:
+        try:
+            reply = await link.request(message, seconds)
+            if isinstance(reply, StreamFound) and reply.seconds > 0:
+                self._record_answer(message.stream_id, reply)
+                lookup.regions.append(reply.region)
+        except SassafraskeelError:
+            pass  # The lookup logs which hosts it asked, if none of them knows.
+        finally:
+            lookup.pending -= 1
+            if lookup.regions or not lookup.pending:
+                if self._lookups.get(key) is lookup:
+                    del self._lookups[key]
+                await lookup.done.set()
+
+    def _record_answer(self, stream_id: str, found: StreamFound) -> None:
+        now = self._clock.monotonic()
+        origin = StreamOrigin(found.service, found.software_version)
+        self.origins.record(stream_id, origin, now + found.seconds, now)
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -51,6 +51,8 @@
     PlacementRequest,
     RouteHeartbeat,
     RouteHeartbeatReply,
+    StreamLookup,
+    StreamsBegan,
 )
 from sassafraskeel.gateways.placement import CoordinatedPlacement
 from sassafraskeel.gateways.placement_server import PlacementServer
@@ -59,6 +61,7 @@
 from sassafraskeel.gateways.server import GatewayServer, PeerComponents
 from sassafraskeel.gateways.statement_relay import StatementRelay
 from sassafraskeel.gateways.store_feed import FeedServer, FeedStore
+from sassafraskeel.gateways.stream_origins import FEATURE, StreamOriginExchange
 from sassafraskeel.store.crash_publisher import CrashPublisher
 from sassafraskeel.store.follower import StoreFollower
 from sassafraskeel.store.interface import Store
@@ -250,6 +253,14 @@
             lambda: self.fleet.version,
             heartbeat=heartbeats,
         )
+        self.stream_origins = StreamOriginExchange(
+            self._links,
+            self.coordination,
+            self.hosts,
+            env.clock,
+            env.log,
+            self._group,
+        )
         self._placement_server = PlacementServer(
             self.placement, self._routing_state, env.clock
         )
@@ -279,6 +290,8 @@
         links.on_request(PlacementRequest, self._placement_server.place, waits=True)
         links.on_request(CallProgress, self._placement_server.record_progress)
         links.on_request(FeedRequest, feed_server.answer, waits=True)
+        links.on_request(StreamsBegan, self.stream_origins.record_streams)
+        links.on_request(StreamLookup, self.stream_origins.answer, waits=True)
         links.on_link_closed(self._placement_server.link_closed)
 
     def _build_dispatcher(self) -> None:
@@ -333,6 +346,7 @@
                 self._recorder,
                 self._links,
                 lambda: self.follower.manifest_document,
+                FEATURE,
             ),
             lambda: self.fleet.version,
             cfg.listen.gateways,
@@ -396,6 +410,7 @@
                 (self._crash_publisher.run,),
                 (self._cold_start_prober.run, self._group),
                 (self._route_links.run, self._group),
+                (self.stream_origins.run,),
             ):
                 await self._group.spawn_service(self.clock, function, *args)
         except BaseException:
@@ -525,6 +540,7 @@
             log_events_dropped=getattr(self.log, "dropped", 0),
             long_turns=self.turns.long_turns,
             longest_turn_seconds=self.turns.longest_seconds,
+            **self.stream_origins.gauges(),
         )
         return self.metrics.prometheus_text()
 
