Let streams go on only at the software version that began them

Nothing read the version of a replica or the attempt that a caller names in Resumes, so each choice of a replica for the rest of a stream was free: when the host of the caller resumed it within one answer, and when the caller took it up.

The host of a caller records the version right before the first event goes out, and waits until the record has been handed to the link to its coordinator. A call that takes a stream up is bound to the version that this host or one that it can ask has recorded, or to the only version that the service had for as long as a stream may last; otherwise it is refused at once as not run. A stream that is resumed within one answer is bound to the version of the events that were handed on.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -63,7 +63,8 @@
     target of the latest attempt. `round_attempts` counts the attempts since the call
     began or was last resumed, and `rounds` how often it was tried to resume the call.
     `charged_at` is when the latest attempt was charged to a retry budget, in monotonic
-    seconds, None if it was not.
+    seconds, None if it was not. `stream_version` is the software version of the replica
+    whose events were handed on, empty if it is not known, None before the first event.
     """
 
     def __init__(self):
@@ -76,6 +77,7 @@
         self.round_attempts = 0
         self.rounds = 0
         self.charged_at: float | None = None
+        self.stream_version: str | None = None
 
     def start_round(self) -> None:
         """Begin to resume a stream; replicas that may have run it are not used.
--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -36,6 +36,8 @@
 # broke the stream.
 Resume = Callable[[str, SassafraskeelError], Awaitable[StoppableAnswer]]
 MayResume = Callable[[], bool]
+# Called right before the first events of an answer are handed on.
+OnEventsBegin = Callable[[], Awaitable[None]]
 
 
 class StallingAnswer(Protocol):
@@ -65,7 +67,8 @@
     never forwarded and are no progress. A stream that stalls is resumed once
     `may_resume` allows it; until then it goes on, because it may only be slow.
     `stalling` is the answer if it has a stall timeout. With `needs_event`, a stream
-    that ends before its first event is truncated.
+    that ends before its first event is truncated. `on_events_begin` is called for the
+    first answer only; that of a resume is an EventStream of its own.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         stalling: StallingAnswer | None = None,
         last_id: str = "",
         needs_event: bool = False,
+        on_events_begin: OnEventsBegin | None = None,
     ):
         # A resumed stream may differ in length from the content-length of the first
         # replica.
@@ -90,6 +94,7 @@
         self._stalling = stalling
         self._last_id = last_id
         self._needs_event = needs_event
+        self._on_events_begin = on_events_begin
         self._pending = b""
         self._ended = False
 
@@ -110,6 +115,9 @@
                 await self._resume_elsewhere(exc)
                 continue
             if events is not None:
+                if events and self._on_events_begin is not None:
+                    await self._on_events_begin()
+                    self._on_events_begin = None
                 return events
 
     async def stop(self) -> None:
@@ -170,6 +178,7 @@
         await self._answer.stop()
         # The next answer checks by itself whether it needs an event.
         self._pending, self._stalling, self._needs_event = b"", None, False
+        self._on_events_begin = None
         self._work_limit = WorkLimit(ANSWER_WORK, self._clock.monotonic())
         try:
             self._answer = await self._resume(self._last_id, exc)
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -13,12 +13,14 @@
 from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.calls.stream_reports import StreamReporter
 from sassafraskeel.calls.stream_resumer import FINAL_REASONS, StreamResumer
+from sassafraskeel.calls.stream_versions import StreamVersions
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     Outcome,
     Reason,
     Refusal,
     not_run_refusal,
+    unknown_outcome_refusal,
 )
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
@@ -109,6 +111,7 @@
         senders: RouteSenders,
         hasher: FeatureHasher,
         budget: SharedRetryBudget,
+        versions: StreamVersions,
     ):
         self._clock = clock
         self._log = log
@@ -117,7 +120,8 @@
         self._senders = senders
         self._hasher = hasher
         self._budget = budget
-        self._resumer = StreamResumer(self, clock, log, routing_state.hosts)
+        self._versions = versions
+        self._resumer = StreamResumer(self, versions, clock, log, routing_state.hosts)
 
     def check(self, call: Call) -> None:
         """Raise Refusal unless this host may run the call; the body is not needed."""
@@ -165,6 +169,7 @@
         self._refuse_if_cut_off(call)  # The body may have taken long to arrive.
         if not call.hops:
             self._budget.record_call(call.service, self._clock.monotonic())
+        call = await self._versions.bind_call(call)
         call = call._replace(fingerprint=self._hasher.fingerprint(call, body))
         history = AttemptHistory()
         try:
@@ -243,7 +248,13 @@
         forwarded = state_stay(call, history, self._routing_state)
         forwarded = forwarded._replace(hops=(*call.hops, local_host.name))
         started = self._clock.monotonic()
-        answer = await self._senders.hosts.send(target.host, forwarded, body)
+        try:
+            answer = await self._senders.hosts.send(target.host, forwarded, body)
+        except Refusal as refusal:
+            if refusal.reason is Reason.VERSION_GONE:
+                # The host speaks of its region only.
+                refusal.reason = Reason.NO_UPSTREAM
+            raise
         history.delivered_attempts += 1
         history.record_run(target)
 
@@ -252,8 +263,19 @@
                 self._record_route_time(call, answer, started)
 
         if is_event_stream(answer.head) and answer.head.status < 300:
+            version = answer.software_version
+            if call.software_version and version != call.software_version:
+                await answer.close()
+                raise unknown_outcome_refusal(
+                    Reason.UPSTREAM_FAILED, f"{target.name} used another version"
+                )
             stream = EventStream(
-                answer, self._clock, self._resumer.resume_function(call, body, history)
+                answer,
+                self._clock,
+                self._resumer.resume_function(call, body, history),
+                on_events_begin=partial(
+                    self._versions.events_begin, call, target, version, history
+                ),
             )
             return ReleasingAnswer(stream, (), release, answer.software_version)
         buffered = await buffer_answer(
@@ -343,6 +365,13 @@
             may_resume,
             reporter,
             needs_event=needs_event,
+            on_events_begin=partial(
+                self._versions.events_begin,
+                call,
+                target,
+                target.upstream.software_version,
+                history,
+            ),
         )
         return ReleasingAnswer(stream, (), release, version)
 
@@ -361,6 +390,10 @@
         planned_attempts = 0 if target in history.runs.values() else 1
         if not self._may_retry_possibly_run(call, history, planned_attempts):
             return False
+        try:
+            call = self._versions.bind_rest(call, history)
+        except Refusal:
+            return False
         left = history.targets_left()
         left.excluded.add(target.name)
         return self._placement.has_target(call, left)
--- a/sassafraskeel/calls/stream_resumer.py
+++ b/sassafraskeel/calls/stream_resumer.py
@@ -7,6 +7,7 @@
 
 from sassafraskeel.calls.attempts import AttemptHistory, AttemptPolicy, run_attempts
 from sassafraskeel.calls.event_streams import Resume, is_event_stream
+from sassafraskeel.calls.stream_versions import StreamVersions
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     Reason,
@@ -27,7 +28,12 @@
 # are known within half a second.
 RESUME_INTERVAL_SECONDS = 0.2
 # Refusals that hold for every target.
-FINAL_REASONS = (Reason.RESIDENCY, Reason.CRASHES_UPSTREAM)
+FINAL_REASONS = (
+    Reason.RESIDENCY,
+    Reason.CRASHES_UPSTREAM,
+    Reason.VERSION_GONE,
+    Reason.VERSION_UNKNOWN,
+)
 
 
 class ResumePolicy(AttemptPolicy, Protocol):
@@ -44,9 +50,15 @@
     """Resumes streams until their own time or that of the local host ends."""
 
     def __init__(
-        self, policy: ResumePolicy, clock: Clock, log: LogSink, hosts: HostTable
+        self,
+        policy: ResumePolicy,
+        versions: StreamVersions,
+        clock: Clock,
+        log: LogSink,
+        hosts: HostTable,
     ):
         self._policy = policy
+        self._versions = versions
         self._clock = clock
         self._log = log
         self._hosts = hosts
@@ -60,7 +72,8 @@
 
         async def resume(last_id: str, cause: SassafraskeelError) -> Answer:
             began_at = self._clock.monotonic()
-            resumed = call._replace(resume_after=last_id or call.resume_after)
+            resumed = self._versions.bind_rest(call, history)
+            resumed = resumed._replace(resume_after=last_id or call.resume_after)
             while True:
                 try:
                     answer = await self._resume_once(resumed, body, history)
--- /dev/null
+++ b/sassafraskeel/calls/stream_versions.py
@@ -0,0 +1,150 @@
+"""Binds streams to the software version of the replica that began them.
+
+What replicas of two versions write does not fit together, and replicas do not check it.
+"""
+
+from typing import Protocol
+
+from sassafraskeel.calls.attempts import AttemptHistory, Target
+from sassafraskeel.calls.routing_state import RoutingState
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.errors import Reason, StreamNotResumed, not_run_refusal
+from sassafraskeel.core.events import Event
+from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.types import Call, CallKind
+from sassafraskeel.decisions.fleet import Replica, printable_version
+from sassafraskeel.decisions.stream_origins import OriginLookup, StreamOrigin
+
+# Origins are kept for this long after the deadline of the call that recorded them,
+# because callers take streams up later than that only if they were told to wait.
+KEEP_SECONDS = 30.0
+# A caller may take a stream up until its own deadline, which may be later than that of
+# its first attempt by as much again.
+LIFETIME_TIMEOUTS = 2.0
+# Other hosts may send calls to a replica for this long after its entry has ended here.
+LINGER_SECONDS = 5.0
+
+
+class OriginSource(Protocol):
+    """Knows where the streams of all hosts began, as far as hosts can be asked."""
+
+    async def began(self, stream_id: str, origin: StreamOrigin, expires: float) -> None:
+        """Record an origin until `expires`, in monotonic seconds; tell other hosts."""
+
+    async def wait_flushed(self) -> None:
+        """Wait until recorded origins are on their way to other hosts."""
+
+    async def find(self, stream_id: str) -> OriginLookup:
+        """Return what this host, and others that it can ask, know of a stream."""
+
+
+class StreamVersions:
+    """Learns at which version streams begin, and binds what goes on with them.
+
+    A stream whose version is not known is not continued: replicas of another version
+    would write events that do not fit.
+    """
+
+    def __init__(
+        self, state: RoutingState, origins: OriginSource, clock: Clock, log: LogSink
+    ):
+        self._state = state
+        self._origins = origins
+        self._clock = clock
+        self._log = log
+
+    async def bind_call(self, call: Call) -> Call:
+        """Return a call that takes up a stream bound to the version of the stream.
+
+        Other calls are returned as they are. Raises Refusal (not run) if the version
+        is not known.
+        """
+        is_taken_up = bool(call.resumes or call.resume_after)
+        if call.kind is not CallKind.MODEL or not is_taken_up or call.hops:
+            return call
+        # A call that names no stream shows at least whether other hosts answer.
+        lookup = await self._origins.find(call.resumes or call.call_id)
+        version, source = self._known_version(call, lookup)
+        self._log.emit(
+            Event.STREAM_TAKEN_UP,
+            call=call.call_id,
+            resumes=call.resumes,
+            after=call.resume_after,
+            version=printable_version(version),
+            source=source,
+        )
+        if not version:
+            raise not_run_refusal(
+                Reason.VERSION_UNKNOWN, "no host knows at which version it began"
+            )
+        return call._replace(software_version=version)
+
+    def _known_version(self, call: Call, lookup: OriginLookup) -> tuple[str, str]:
+        """Return the version at which a stream began, and from what it is known.
+
+        Both are empty if it is not known.
+        """
+        if lookup.origin is not None:
+            service, version = lookup.origin
+            return (version, "origin") if service == call.service else ("", "")
+        local_host = self._state.hosts.local_host
+        others = [
+            h for h in self._state.hosts.registered() if h.name != local_host.name
+        ]
+        if others and not lookup.replies:
+            # A host that is cut off has not heard of versions that others may serve.
+            return "", ""
+        version = self._only_version(call)
+        return version, "history" if version else ""
+
+    def bind_rest(self, call: Call, history: AttemptHistory) -> Call:
+        """Return a call for the rest of a stream, bound to the version of its events.
+
+        Raises Refusal if events were handed on and their version is not known.
+        """
+        if history.stream_version is None:
+            return call
+        if not history.stream_version:
+            raise not_run_refusal(
+                Reason.VERSION_UNKNOWN, "the version of the first events is not known"
+            )
+        return call._replace(software_version=history.stream_version)
+
+    async def events_begin(
+        self, call: Call, target: Target, version: str, history: AttemptHistory
+    ) -> None:
+        """Record the version of a stream right before its first events are handed on.
+
+        `version` is that of the target, or empty if a host did not name it. Raises
+        StreamNotResumed if the events may be of another version than earlier ones.
+        """
+        if target.upstream is not None and self._may_have_changed(target.upstream):
+            if call.software_version:
+                raise StreamNotResumed(f"{target.name} started at another version")
+            version = ""
+        history.stream_version = version
+        if version and not call.hops and call.route_policy.resumable:
+            origin = StreamOrigin(call.service, version)
+            stream_id = call.resumes or call.call_id
+            await self._origins.began(stream_id, origin, call.expires + KEEP_SECONDS)
+            # The host may be lost right after its caller has got the first event.
+            await self._origins.wait_flushed()
+
+    def _may_have_changed(self, replica: Replica) -> bool:
+        """Return whether a connection to a replica may be one to its next run.
+
+        The run that serves a new connection may be listed only after the call was sent.
+        """
+        known = self._state.fleet.get(replica.name)
+        return (
+            known is not None
+            and known.started_at_ms != replica.started_at_ms
+            and known.software_version != replica.software_version
+        )
+
+    def _only_version(self, call: Call) -> str:
+        """Return the version of a service that had no other one, or an empty string."""
+        table, now = self._state.fleet.table, self._clock.monotonic()
+        timeouts = [route.timeout for route in table.manifest.routes] if table else []
+        seconds = LIFETIME_TIMEOUTS * max(timeouts, default=0.0) + LINGER_SECONDS
+        return self._state.versions.single_version(call.service, now, seconds)
--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -24,6 +24,7 @@
     NO_SHEET = "no_sheet"
     NO_UPSTREAM = "no_upstream"
     VERSION_GONE = "version_gone"
+    VERSION_UNKNOWN = "version_unknown"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     LOOP = "loop"
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -91,6 +91,7 @@
         327, Level.WARNING, "Retry-After of a replica is malformed"
     )
     CALL_REJECTED = EventSpec(328, Level.INFO, "replica rejected a call")
+    STREAM_TAKEN_UP = EventSpec(329, Level.INFO, "stream taken up by its caller")
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -43,11 +43,15 @@
 
     @property
     def logged_version(self) -> str:
-        """Return the software version without characters that logs have to escape."""
-        version = self.software_version
-        if version.startswith(UNVERSIONED_PREFIX):
-            return version.replace(UNVERSIONED_PREFIX, "unversioned:", 1)
-        return version
+        """Return the software version as it is logged."""
+        return printable_version(self.software_version)
+
+
+def printable_version(version: str) -> str:
+    """Return a software version without characters that logs have to escape."""
+    if version.startswith(UNVERSIONED_PREFIX):
+        return version.replace(UNVERSIONED_PREFIX, "unversioned:", 1)
+    return version
 
 
 class Fleet:
--- a/sassafraskeel/decisions/stream_origins.py
+++ b/sassafraskeel/decisions/stream_origins.py
@@ -26,6 +26,16 @@
 CONFLICTING = StreamOrigin("", "")
 
 
+class OriginLookup(NamedTuple):
+    """What is known of a stream: its origin, CONFLICTING, or None if it is unknown.
+
+    `replies` counts the other hosts that were asked and have answered.
+    """
+
+    origin: StreamOrigin | None
+    replies: int = 0
+
+
 class StreamRecord(NamedTuple):
     """The origin of a stream, and when it is forgotten, in monotonic seconds."""
 
--- a/sassafraskeel/gateways/stream_origins.py
+++ b/sassafraskeel/gateways/stream_origins.py
@@ -18,6 +18,7 @@
 from sassafraskeel.decisions.hosts import HostTable
 from sassafraskeel.decisions.stream_origins import (
     CONFLICTING,
+    OriginLookup,
     StreamOrigin,
     StreamOrigins,
     StreamRecord,
@@ -35,12 +36,13 @@
 )
 
 FEATURE = "stream-origins"
-# A host that dies loses what it queued within this time. Shorter batches name the same
-# origins more often, and cost the coordinator of a large region more messages.
-BATCH_SECONDS = 0.1
-# A coordinator sends the streams of its region to two hosts. If it dies, the hosts send
-# those of the last seconds to the next one, so that it loses only its own.
-RELAY_SECONDS = 0.25
+# The time between two batches of a host, for each host of its region. Streams wait for
+# their batch before their first event is handed on, but in longer batches the names of
+# origins are sent less often, and a coordinator gets batches of all hosts.
+BATCH_SECONDS_PER_HOST = 0.005
+MAX_BATCH_SECONDS = 0.1
+# A link that takes no messages holds streams back no longer than this.
+FLUSH_TIMEOUT_SECONDS = 0.15
 MAX_QUEUED = 4096
 # A peer that has stopped answering is replaced within this time, and what was sent to
 # it meanwhile may be lost.
@@ -77,11 +79,13 @@
 class _Lookup:
     """Requests that are under way for one stream.
 
-    `regions` are the regions of the hosts that know it, in the order of their answers.
+    `replies` counts the hosts that have answered, and `regions` are those of the hosts
+    that know the stream, in the order of their answers.
     """
 
     def __init__(self, pending: int):
         self.pending = pending
+        self.replies = 0
         self.regions: list[str] = []
         self.done = curio.Event()
 
@@ -125,6 +129,8 @@
         # Entries for links that were not in use before, by the links' serial numbers.
         self._backlogs: dict[int, Iterator[_Entry]] = {}
         self._filled = curio.Event()
+        # Set once what is queued at present has been handed to the links.
+        self._flushed = curio.Event()
         self._lookups: dict[StreamLookup, _Lookup] = {}
         self._counts = Counter()
 
@@ -140,27 +146,41 @@
             name = self._hosts.local_host.name
             await self._enqueue(_Entry(stream_id, Scope.STANDBY_AND_REGION, name), now)
 
-    async def find(self, stream_id: str) -> StreamOrigin | None:
-        """Return where a stream began; None if no host knows it, or they disagree.
+    async def wait_flushed(self) -> None:
+        """Wait until the queued streams have been handed to the links.
+
+        Returns after FLUSH_TIMEOUT_SECONDS at the latest.
+        """
+        if not self._queue:
+            return
+        flushed = self._flushed
+        try:
+            async with self._clock.timeout(FLUSH_TIMEOUT_SECONDS):
+                await flushed.wait()
+        except TimedOut:
+            return
+
+    async def find(self, stream_id: str) -> OriginLookup:
+        """Return where a stream began, as far as the hosts know that can be asked.
 
         Returns within LOOKUP_TIMEOUT_SECONDS.
         """
         if not is_valid_id(stream_id):
-            return None
+            return OriginLookup(None)
         now = self._clock.monotonic()
         record = self.origins.get(stream_id, now)
-        links, found_in = [], "local"
+        links, found_in, replies = [], "local", 0
         if record is None:
             links = self._region_links(now)
             message = StreamLookup(stream_id, other_regions=True)
             region_links = self._other_regions_links(now)
-            record, found_in = await self._ask(
+            record, found_in, replies = await self._ask(
                 message, links, region_links, LOOKUP_TIMEOUT_SECONDS
             )
             links += region_links
         if record is not None and record.origin != CONFLICTING:
             self._counts[found_in] += 1
-            return record.origin
+            return OriginLookup(record.origin, replies)
         self._counts["unknown"] += 1
         self._log.emit(
             Event.STREAM_ORIGIN_UNKNOWN,
@@ -168,7 +188,7 @@
             cause="unknown" if record is None else "conflicting",
             asked=" ".join(link.peer.name for link in links),
         )
-        return None
+        return OriginLookup(record and CONFLICTING, replies)
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the metrics."""
@@ -202,7 +222,7 @@
         if record is None and message.other_regions and is_valid_id(message.stream_id):
             links = self._other_regions_links(now)
             wanted = message._replace(other_regions=False)
-            record, _ = await self._ask(wanted, [], links, REGIONS_TIMEOUT_SECONDS)
+            record, _, _ = await self._ask(wanted, [], links, REGIONS_TIMEOUT_SECONDS)
             region, now = "", self._clock.monotonic()
         if record is None or record.expires <= now:
             return StreamFound(*CONFLICTING, 0, "")
@@ -219,8 +239,11 @@
             self._filled.clear()
             now = self._clock.monotonic()
             await self._flush(self._targets(now), now)
-            is_relay = self._upstream(now) is None
-            await self._clock.sleep(RELAY_SECONDS if is_relay else BATCH_SECONDS)
+            await self._clock.sleep(self._batch_seconds(now))
+
+    def _batch_seconds(self, now: float) -> float:
+        hosts = len(self._hosts.region_peers(now)) + 1
+        return min(BATCH_SECONDS_PER_HOST * hosts, MAX_BATCH_SECONDS)
 
     async def _enqueue(self, entry: _Entry, now: float) -> None:
         if len(self._queue) >= MAX_QUEUED:
@@ -233,6 +256,7 @@
     async def _flush(self, targets: list[_Target], now: float) -> None:
         self._add_backlogs(targets, now)
         queue, self._queue = self._queue, []
+        flushed, self._flushed = self._flushed, curio.Event()
         for target in targets:
             backlog = list(islice(self._backlogs[target.link.serial], MAX_ROWS))
             if len(backlog) == MAX_ROWS:
@@ -244,6 +268,7 @@
                     break  # The link manager logs the loss; a new link gets a backlog.
                 # To encode a message of MAX_ROWS takes about a millisecond.
                 await curio.sleep(0)
+        await flushed.set()
 
     def _messages(
         self, target: _Target, entries: list[_Entry], now: float
@@ -346,11 +371,12 @@
         links: list[ControlLink],
         region_links: list[ControlLink],
         seconds: float,
-    ) -> tuple[StreamRecord | None, str]:
+    ) -> tuple[StreamRecord | None, str, int]:
         """Ask hosts at the same time, until one knows the stream or all have answered.
 
-        Returns its record and "region" or "other_region". Hosts on `region_links` ask
-        no further ones. Lookups of the same stream share their requests.
+        Returns its record, "region" or "other_region", and how many answered. Hosts on
+        `region_links` ask no further ones. Lookups of the same stream share their
+        requests.
         """
         lookup = self._lookups.get(message)
         if lookup is None:
@@ -358,7 +384,7 @@
             requests = [(link, message) for link in links]
             requests += [(link, narrow) for link in region_links]
             if len(self._lookups) >= MAX_LOOKUPS or not requests:
-                return None, ""
+                return None, "", 0
             lookup = self._lookups[message] = _Lookup(len(requests))
             for link, sent in requests:
                 await self._group.spawn(
@@ -366,10 +392,11 @@
                 )
         await lookup.done.wait()
         if not lookup.regions:
-            return None, ""
+            return None, "", lookup.replies
         record = self.origins.get(message.stream_id, self._clock.monotonic())
         in_region = lookup.regions[0] == self._local_region()
-        return record, "region" if in_region else "other_region"
+        found_in = "region" if in_region else "other_region"
+        return record, found_in, lookup.replies
 
     async def _request(
         self,
@@ -381,6 +408,7 @@
     ) -> None:
         try:
             reply = await link.request(message, seconds)
+            lookup.replies += isinstance(reply, StreamFound)
             if isinstance(reply, StreamFound) and reply.seconds > 0:
                 self._record_answer(message.stream_id, reply)
                 lookup.regions.append(reply.region)
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -97,10 +97,12 @@
         if route is None:
             raise not_run_refusal(Reason.UNKNOWN_ROUTE, f"{host}{path}")
         remaining = _remaining_seconds(headers, route)
+        resumes = find_header(headers, wire.RESUMES)
         return Call(
             call_id=call_id,
             workspace="",
-            service=choose_service(route, call_id),
+            # A stream that is taken up goes on at the service at which it began.
+            service=choose_service(route, resumes or call_id),
             kind=route.kind,
             method=request.method.decode(),
             path=target,
@@ -111,7 +113,7 @@
             priority=route.priority,
             route_policy=_build_route_policy(route, table.manifest.version, headers),
             resume_after=find_header(headers, wire.LAST_EVENT_ID),
-            resumes=find_header(headers, wire.RESUMES),
+            resumes=resumes,
         )
 
     def refusal_answer(
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -13,6 +13,7 @@
 from sassafraskeel.calls.route_calls import RouteCalls, RouteSenders
 from sassafraskeel.calls.route_placement import RoutePlacement
 from sassafraskeel.calls.routing_state import RoutingState
+from sassafraskeel.calls.stream_versions import StreamVersions
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import TimedOut
 from sassafraskeel.core.events import Event
@@ -331,6 +332,9 @@
                 cfg.retries.extra,
                 cfg.retries.window.total_seconds(),
             ),
+            StreamVersions(
+                self._routing_state, self.stream_origins, env.clock, env.log
+            ),
         )
 
     def _build_servers(self) -> None:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -195,7 +195,7 @@
         await world.call("/stream/chat/1", "POST")
         await world.clock.sleep(0.1)
         expected = times.expected("desk", "model")
-        rest = ((b"last-event-id", b"4"),)
+        rest = ((b"last-event-id", b"4"), (b"resumes", b"c-1"))
         await world.call("/stream/chat/1", "POST", call_id="c-2", headers=rest)
         await world.clock.sleep(0.1)
         self.assertEqual(world.runs("c-2"), 1)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -254,7 +254,8 @@
 
     async def assert_found(self, *hosts, origin=OLD):
         for host in hosts:
-            self.assertEqual(await host.stream_origins.find(STREAM), origin)
+            found = await host.stream_origins.find(STREAM)
+            self.assertEqual(found.origin, origin)
 
     @with_routes(world_options=FLEET)
     async def test_all_hosts(self, world):
@@ -408,7 +409,7 @@
         await self.begin(world, two, NEW)
         await world.clock.sleep(SPREAD_SECONDS)
         others = [host for host in world.hosts if host not in (one, two)]
-        await self.assert_found(*others, origin=None)
+        await self.assert_found(*others, origin=CONFLICTING)
 
     @with_routes(world_options=FLEET)
     async def test_lookups_share_requests(self, world):
@@ -426,7 +427,8 @@
         finds[0].allow_cancel = True
         await world.clock.sleep(0.05)
         await finds[0].cancel()
-        self.assertEqual([await task.join() for task in finds[1:]], [OLD] * 8)
+        found = [(await task.join()).origin for task in finds[1:]]
+        self.assertEqual(found, [OLD] * 8)
         self.assertEqual(len(asked), 1)
         self.assertFalse(other.stream_origins._lookups)
 
@@ -438,7 +440,8 @@
             await self.begin(world, host, stream_id=f"s-{number}")
         self.assertEqual(len(host.stream_origins._queue), MAX_QUEUED)
         self.assertEqual(host.stream_origins.gauges()["stream_origins_unsent"], 7)
-        self.assertEqual(await host.stream_origins.find(f"s-{MAX_QUEUED + 6}"), OLD)
+        found = await host.stream_origins.find(f"s-{MAX_QUEUED + 6}")
+        self.assertEqual(found.origin, OLD)
 
     @with_routes(world_options=FLEET)
     async def test_malformed_message_of_peer(self, world):
