--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.http_client import ClientConnection, connect
 from sassafraskeel.core.net import Address, Network
-from soak.checks import Outcome
+from soak.record import Outcome
 
 STAMP_HEADER = b"x-sassafraskeel-response-stamp"
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -8,8 +8,8 @@
     Boot,
     RandomRefusals,
 )
-from soak.checks import LimitedSpan, ReplicaRun
 from soak.plan import Step
+from soak.record import LimitedSpan, ReplicaRun
 from soak.requests import Requests, StoreWriter
 from tools.route_cluster import ReplicaProcess, replica_entry
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,16 +12,10 @@
 from sassafraskeel.core.net import TcpNetwork, parse_address
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from soak.callers import Caller
-from soak.checks import (
-    DRAIN_SECONDS,
-    EVACUATE_SECONDS,
-    LimitedSpan,
-    Record,
-    Span,
-    find_problems,
-)
+from soak.checks import DRAIN_SECONDS, EVACUATE_SECONDS, find_problems
 from soak.plan import Step, Targets, make_plan
 from soak.proxy import NO_FAULT, Fault, Proxy
+from soak.record import LimitedSpan, Record, Span
 from soak.replicas import SoakReplicas
 from soak.requests import Requests, StoreWriter
 from tools.cluster import free_address
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,8 +4,9 @@
 
 import curio
 
-from soak.checks import LimitedSpan, Outcome, Record, ReplicaRun, Span, find_problems
+from soak.checks import find_problems
 from soak.plan import Targets, make_plan
+from soak.record import LimitedSpan, Outcome, Record, ReplicaRun, Span
 from soak.run import RunSize, SoakRun
 
 TARGETS = Targets(["h-0", "h-1"], ["r-0", "r-1"], ["z-0"])
