Take up broken streams in the soak, and roll its replicas

Callers cut a part of their chats within the events, as lost connections do, and take these and all others that broke off up again over a new connection to any host, with Resumes and Last-Event-Id. Replicas are drained and replaced by others with a new id and another version, or start again under their id; `--versions` names the versions, "" for entries without one, and it is one version by default. The record tells which hosts were down, and when which replica was listed as ready.

The check of the recovery leaves out calls that the caller itself cut.

--- a/sassafraskeel/emulators/__main__.py
+++ b/sassafraskeel/emulators/__main__.py
@@ -96,12 +96,13 @@
 
 
 class Replica(BaseModel):
-    """Emulate a replica of the users' platform."""
+    """Emulate a replica of the users' platform, by default without a version."""
 
     listen: str
     name: str
     zone: str
     delay_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
+    version: Annotated[str | None, cappa.Arg(long="software-version")] = None
 
     def __call__(self):
         address = parse_address(self.listen)
@@ -109,6 +110,7 @@
             SystemClock(), TcpNetwork(), address, self.name, self.zone
         )
         server.delay = self.delay_ms / 1000
+        server.version = self.version or ""
         curio.run(run_until_stopped, server)
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,13 +26,16 @@
     seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
     callers: Annotated[int, cappa.Arg(long=True)] = 12
     delay_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
+    versions: Annotated[list[str], cappa.Arg(long=True)] = ["v1"]
     large: Annotated[bool, cappa.Arg(long=True)] = False
 
     def __call__(self):
         # Exit through the `finally` clauses, which end the started processes.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
         zones = LARGE_ZONES if self.large else ZONES
-        size = RunSize(self.seconds, self.callers, zones, self.delay_ms)
+        size = RunSize(
+            self.seconds, self.callers, zones, self.delay_ms, tuple(self.versions)
+        )
         failed = 0
         for seed in range(self.first, self.first + self.count):
             failed += self._run_seed(seed, size)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that send calls to hosts over persistent connections."""
 
+import math
 import random
 import re
 from collections.abc import Callable
@@ -12,15 +13,20 @@
 from soak.record import Outcome
 
 STAMP_HEADER = b"x-sassafraskeel-response-stamp"
-EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+WHOLE_EVENT = re.compile(rb"^id: (\d+)\ndata: [^\n]*\n\n", re.MULTILINE)
 KINDS = {
     "read": ("GET", "/read/lot"),
     "order": ("POST", "/order/weighing"),
     "chat": ("POST", "/stream/chat/question"),
     "draft": ("POST", "/stream/draft/summary"),
 }
+STREAM_EVENTS = 5
 TIMEOUT_SECONDS = 4.0
 MAX_PAUSE_SECONDS = 0.15
+# The share of answers to chats that a caller cuts within their events, and how often it
+# sends a chat.
+CUT_SHARE = 0.3
+CHAT_ATTEMPTS = 4
 # A caller abandons a call 4 s after the deadline of the call.
 MAX_CALL_SECONDS = TIMEOUT_SECONDS + 4.0
 
@@ -29,7 +35,8 @@
     """Sends calls one after another over one connection to a random host.
 
     If the connection is closed or an answer is incomplete, the next call opens a
-    connection to a newly chosen random host.
+    connection to a newly chosen random host. Chats that have begun and broken off are
+    taken up, over a new connection to any host.
     """
 
     def __init__(
@@ -55,42 +62,75 @@
         while self._clock.monotonic() < get_end_time():
             number += 1
             kind = self._rng.choice(list(KINDS))
-            await self._call(f"{self._name}-{number}", kind)
+            outcome = await self._call(f"{self._name}-{number}", kind)
+            if kind == "chat":
+                await self._take_up(outcome)
             await self._clock.sleep(MAX_PAUSE_SECONDS * self._rng.random())
 
-    async def _call(self, call_id: str, kind: str) -> None:
+    async def _take_up(self, outcome: Outcome) -> None:
+        """Take up a stream until it is complete or its attempts are used up."""
+        call_id, resumes, last_event_id = outcome.call_id, "", 0
+        for number in range(1, CHAT_ATTEMPTS):
+            if outcome.event_ids:
+                resumes = resumes or outcome.call_id
+                last_event_id = outcome.event_ids[-1]
+            is_served = outcome.status == 200 and outcome.is_complete
+            if is_served or not resumes:
+                return
+            await self.close()
+            await self._clock.sleep(MAX_PAUSE_SECONDS * self._rng.random())
+            outcome = await self._call(
+                f"{call_id}-{number}", "chat", resumes, last_event_id
+            )
+
+    async def _call(
+        self, call_id: str, kind: str, resumes: str = "", last_event_id: int = 0
+    ) -> Outcome:
         sent_at = self._clock.monotonic()
-        status, has_stamp, is_complete, chunks = 0, False, False, []
+        status, has_stamp, is_complete, data = 0, False, False, b""
+        cut_after = self._choose_cut(kind)
+        was_cut = False
         try:
             async with self._clock.timeout(MAX_CALL_SECONDS):
                 conn = await self._get_connection()
-                await conn.send(*KINDS[kind], self._headers(call_id), b"")
+                headers = self._headers(call_id, resumes, last_event_id)
+                await conn.send(*KINDS[kind], headers, b"")
                 head = await conn.receive_head()
                 status = head.status
                 has_stamp = bool(find_header(head.headers, STAMP_HEADER))
-                while data := await conn.receive_data():
-                    chunks.append(data)
-                is_complete = True
+                while not was_cut and (chunk := await conn.receive_data()):
+                    data += chunk
+                    was_cut = len(WHOLE_EVENT.findall(data)) >= cut_after
+                is_complete = not was_cut
         except SassafraskeelError:
             is_complete = False  # The received part is recorded and checked.
-        event_ids = tuple(int(text) for text in EVENT_ID.findall(b"".join(chunks)))
+        event_ids = tuple(int(text) for text in WHOLE_EVENT.findall(data))
         ended_at = self._clock.monotonic()
-        self.outcomes.append(
-            Outcome(
-                call_id,
-                kind,
-                self._host,
-                status,
-                has_stamp,
-                is_complete,
-                event_ids,
-                sent_at,
-                ended_at,
-                TIMEOUT_SECONDS,
-            )
+        outcome = Outcome(
+            call_id,
+            kind,
+            self._host,
+            status,
+            has_stamp,
+            is_complete,
+            event_ids,
+            sent_at,
+            ended_at,
+            TIMEOUT_SECONDS,
+            resumes,
+            last_event_id,
+            was_cut,
         )
+        self.outcomes.append(outcome)
         if not is_complete or not self._conn.prepare_for_reuse():
             await self.close()
+        return outcome
+
+    def _choose_cut(self, kind: str) -> float:
+        """Return the number of events after which the caller closes its connection."""
+        if kind != "chat" or self._rng.random() >= CUT_SHARE:
+            return math.inf
+        return self._rng.randint(1, STREAM_EVENTS - 1)
 
     async def close(self) -> None:
         """Close the open connection, if any."""
@@ -105,9 +145,16 @@
             self._conn = await connect(self._network, address, self._clock)
         return self._conn
 
-    def _headers(self, call_id: str):
-        return (
+    def _headers(self, call_id: str, resumes: str, last_event_id: int):
+        headers = (
             (b"host", b"app.example"),
             (b"x-sassafraskeel-request-id", call_id.encode()),
             (b"x-sassafraskeel-deadline-ms", str(int(TIMEOUT_SECONDS * 1000)).encode()),
         )
+        if not resumes:
+            return headers
+        return (
+            *headers,
+            (b"resumes", resumes.encode()),
+            (b"last-event-id", str(last_event_id).encode()),
+        )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -94,16 +94,18 @@
         label = f"{outcome.call_id} ({outcome.kind})"
         if not outcome.has_stamp:
             problems.append(f"{label}: a success without a response stamp")
-        expected = tuple(range(1, len(outcome.event_ids) + 1))
+        first = outcome.last_event_id + 1
+        expected = tuple(range(first, first + len(outcome.event_ids)))
         if outcome.event_ids != expected:
             problems.append(f"{label}: events {outcome.event_ids}")
         is_stream = outcome.kind in ("draft", "chat")
+        event_count = outcome.last_event_id + len(outcome.event_ids)
         if (
             is_stream
             and outcome.is_complete
-            and len(outcome.event_ids) != record.events_per_stream
+            and event_count != record.events_per_stream
         ):
-            problems.append(f"{label}: complete with {len(outcome.event_ids)} events")
+            problems.append(f"{label}: complete with {event_count} events")
     return problems
 
 
@@ -140,7 +142,11 @@
 def check_recovery(record: Record) -> list[str]:
     """Return a problem if too few calls were sent or served after the last fault."""
     since = record.faults_ended_at + RECOVERY_SECONDS
-    late = [outcome for outcome in record.outcomes if outcome.sent_at > since]
+    late = [
+        outcome
+        for outcome in record.outcomes
+        if outcome.sent_at > since and not outcome.was_cut
+    ]
     served = sum(outcome.status == 200 and outcome.is_complete for outcome in late)
     if len(late) < MIN_CALLS:
         return [f"only {len(late)} calls after the last fault"]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,7 +19,7 @@
 
     `at` is in seconds from the start of the run, and `duration` is in seconds. `rate`
     is the limit that a replica names, in requests per second, or the share of requests
-    that it refuses.
+    that it refuses. `version` is the software version of a replica that starts.
     """
 
     at: float
@@ -27,14 +27,19 @@
     target: str
     duration: float
     rate: float = 0.0
+    version: str = ""
 
 
 class Targets(NamedTuple):
-    """The names that a schedule may choose from."""
+    """The names that a schedule may choose from, and the versions of replicas.
+
+    The version "" stands for an entry without one.
+    """
 
     hosts: list[str]
     replicas: list[str]
     zones: list[str]
+    versions: tuple[str, ...] = ("v1",)
 
 
 def make_plan(seed: int, seconds: float, targets: Targets) -> list[Step]:
@@ -54,6 +59,7 @@
     steps.append(limit)
     steps += _choose_refusals(seed, seconds, targets)
     steps += _choose_takeovers(seed, seconds, targets, limit.target)
+    steps += _choose_rolls(seed, seconds, targets, limit.target)
     if not has_operations:
         steps.append(_choose_restore(seed, seconds))
     return sorted(steps, key=lambda step: step.at)
@@ -103,6 +109,22 @@
     return steps
 
 
+def _choose_rolls(
+    seed: int, seconds: float, targets: Targets, limited: str
+) -> list[Step]:
+    """Return when replicas leave and come back, mostly with another id and version."""
+    rng = random.Random(f"rolls-{seed}")
+    replicas = [replica for replica in targets.replicas if replica != limited]
+    steps, at = [], START_SECONDS
+    while replicas and at < seconds:
+        kind = rng.choice(("roll", "roll", "restart"))
+        version = rng.choice(targets.versions)
+        duration = rng.uniform(0.3, MAX_FAULT_SECONDS)
+        steps.append(Step(at, kind, rng.choice(replicas), duration, version=version))
+        at += rng.uniform(2.0, 8.0)
+    return steps
+
+
 def _choose_restore(seed: int, seconds: float) -> Step:
     """Return a restore of the store from a copy that is made at the step's time."""
     rng = random.Random(f"restore-{seed}")
--- a/soak/record.py
+++ b/soak/record.py
@@ -8,8 +8,11 @@
 
     `status` is 0 if no response head was received. `has_stamp` is whether the
     answer has the response stamp of a replica, and `is_complete` whether its HTTP
-    message is complete. `event_ids` holds the ids of a stream's events in the order
-    of arrival. `timeout` is in seconds; times are monotonic seconds.
+    message is complete. `event_ids` holds the ids of a stream's whole events in the
+    order of arrival. `timeout` is in seconds; times are monotonic seconds. A call that
+    takes a stream up has in `resumes` the call that brought the first event, and in
+    `last_event_id` the event after which it goes on. `was_cut` is whether the caller
+    closed the connection during the answer.
     """
 
     call_id: str
@@ -22,18 +25,25 @@
     sent_at: float
     ended_at: float
     timeout: float
+    resumes: str = ""
+    last_event_id: int = 0
+    was_cut: bool = False
 
 
 class ReplicaRun(NamedTuple):
     """A run of a call at a replica; times are monotonic seconds.
 
-    `ended_at` is None if the replica was still at work when it was asked.
+    `ended_at` is None if the replica was still at work when it was asked. A run of a
+    stream begins after `last_event_id`. `version` is that of the replica's software;
+    for an entry without one it equals that of no other boot.
     """
 
     call_id: str
     replica: str
     started_at: float
     ended_at: float | None = None
+    last_event_id: int = 0
+    version: str = "v1"
 
 
 class Span(NamedTuple):
@@ -44,6 +54,15 @@
     until: float
 
 
+class ServingSpan(NamedTuple):
+    """A period, in monotonic seconds, in which a replica was listed as ready."""
+
+    replica: str
+    version: str
+    since: float
+    until: float
+
+
 class LimitedSpan(NamedTuple):
     """A period in which a replica named a limit, and when requests arrived in it.
 
@@ -61,8 +80,9 @@
     """The observations of one run.
 
     `drained` holds the periods in which a replica must get no new calls, `paused` those
-    in which the process of a host, a replica or the store was stopped by SIGSTOP, and
-    `link_faults` those in which connections to a replica or the store had a fault.
+    in which the process of a host, a replica or the store was stopped by SIGSTOP,
+    `link_faults` those in which connections to a replica or the store had a fault, and
+    `down` those in which a host was stopping, gone or starting.
     """
 
     outcomes: list[Outcome]
@@ -74,3 +94,5 @@
     stale_directory_entries: list[str]
     limited: list[LimitedSpan]
     link_faults: list[Span] = []
+    down: list[Span] = []
+    serving: list[ServingSpan] = []
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -9,7 +9,7 @@
     RandomRefusals,
 )
 from soak.plan import Step
-from soak.record import LimitedSpan, ReplicaRun
+from soak.record import LimitedSpan, ReplicaRun, ServingSpan
 from soak.requests import Requests, StoreWriter
 from tools.route_cluster import ReplicaProcess, replica_entry
 
@@ -36,11 +36,16 @@
         self._addresses = addresses
         self._requests, self._store = requests, store
         self._clock = requests.clock
-        self._boots = {process.name: Boot(process.name) for process in processes}
+        self._boots = {
+            process.name: Boot(process.name, process.version) for process in processes
+        }
+        self._serving_since: dict[str, float] = {}
+        self._serving: list[ServingSpan] = []
         self.reserved: set[str] = set()
 
     async def register(self, name: str, state: str = "ready") -> None:
         """Write the entry of a replica."""
+        self.set_serving(name, state == "ready")
         await self._store.write(self._key(name), self._entry(name, state))
 
     async def limit(self, step: Step) -> LimitedSpan:
@@ -67,28 +72,80 @@
         if name in self.reserved:
             return
         self.reserved.add(name)
-        former_key, boot = self._key(name), self._boots[name]
-        born = boot.born + 1
-        await self._boot(name, boot._replace(name=f"{name}.{born}", born=born))
-        await self._store.write_surely(self._key(name), self._entry(name))
+        former_key = self._key(name)
+        await self._start_other(name, self._boots[name].version)
         await self._clock.sleep(step.duration)
         await self._store.write_surely(former_key, None)
         self.reserved.discard(name)
 
+    async def roll(self, step: Step) -> None:
+        """Drain a replica and replace it by one of the step's version."""
+        name = step.target
+        if name in self.reserved:
+            return
+        self.reserved.add(name)
+        await self.register(name, "draining")
+        await self._clock.sleep(step.duration)
+        await self._store.write_surely(self._key(name), None)
+        await self._start_other(name, step.version)
+        self.reserved.discard(name)
+
+    async def restart(self, step: Step) -> None:
+        """Start a replica again under its id, with the step's version."""
+        name = step.target
+        if name in self.reserved:
+            return
+        self.reserved.add(name)
+        boot = self._boots[name]
+        boot = boot._replace(version=step.version, born=boot.born + 1)
+        await self._boot(name, boot)
+        self.reserved.discard(name)
+
+    def set_serving(self, name: str, serving: bool) -> None:
+        """Record whether a replica is listed as ready, in a zone that is used."""
+        now = self._clock.monotonic()
+        since = self._serving_since.pop(name, None)
+        if since is not None:
+            version = _version_of(self._boots[name])
+            self._serving.append(ServingSpan(name, version, since, now))
+        if serving:
+            self._serving_since[name] = now
+
+    def serving_spans(self) -> list[ServingSpan]:
+        """Return when which replica served; call it at the end of a run."""
+        for name in list(self._serving_since):
+            self.set_serving(name, False)
+        return self._serving
+
     async def runs(self) -> list[ReplicaRun]:
         """Return the runs of all replicas."""
         found = []
         for name in self._processes:
             ledger = await self._ask(name, "GET", LEDGER_PATH)
             found += [
-                ReplicaRun(run["request_id"], name, run["started_at"], run["ended_at"])
+                ReplicaRun(
+                    run["request_id"],
+                    name,
+                    run["started_at"],
+                    run["ended_at"],
+                    int(run["last_event_id"] or 0),
+                    _version_of(Boot(*run["boot"])),
+                )
                 for run in ledger["log"]
             ]
         return found
 
+    async def _start_other(self, name: str, version: str) -> None:
+        """Start a replica with another id at the address of one that ends."""
+        born = self._boots[name].born + 1
+        await self._boot(name, Boot(f"{name}.{born}", version, born))
+
     async def _boot(self, name: str, boot: Boot) -> None:
+        self.set_serving(name, False)
         await self._ask(name, "PUT", BOOT_PATH, boot)
         self._boots[name] = boot
+        await self._store.write_surely(self._key(name), self._entry(name))
+        self.set_serving(name, True)
 
     async def _ask(self, name: str, method: str, path: str, content=None):
         address = self._processes[name].address
@@ -100,3 +157,8 @@
     def _entry(self, name: str, state: str = "ready") -> bytes:
         process = self._processes[name]._replace(address=self._addresses[name])
         return replica_entry(process, state, self._boots[name])
+
+
+def _version_of(boot: Boot) -> str:
+    """Return the version of a boot, or one of its own if its entry names none."""
+    return boot.version or f"{boot.name}/{boot.born}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from sassafraskeel.core.clock import SystemClock
 from sassafraskeel.core.net import TcpNetwork, parse_address
 from sassafraskeel.core.tasks import SupervisedTaskGroup
-from soak.callers import Caller
+from soak.callers import STREAM_EVENTS, Caller
 from soak.checks import DRAIN_SECONDS, EVACUATE_SECONDS, find_problems
 from soak.plan import Step, Targets, make_plan
 from soak.proxy import NO_FAULT, Fault, Proxy
@@ -26,7 +26,6 @@
 # Calls are sent for this long after the last fault, to check the recovery.
 RECOVERY_PHASE_SECONDS = 8.0
 DIRECTORY_POLL_SECONDS = 0.5
-STREAM_EVENTS = 5
 LINK_FAULTS = {
     "delay": Fault(delay=0.4),
     "silence": Fault(forward=False, back=False),
@@ -39,13 +38,15 @@
     """The duration of the faults in seconds, and the size of the deployment.
 
     `zones` gives the numbers of hosts and replicas of each zone. `delay_ms` is how long
-    a replica takes for an answer and for each event of a stream.
+    a replica takes for an answer and for each event of a stream. Replicas have the
+    software `versions`, of which "" stands for entries without one.
     """
 
     seconds: float
     callers: int
     zones: dict[str, tuple[int, int]]
     delay_ms: float = 20.0
+    versions: tuple[str, ...] = ("v1",)
 
 
 class SoakRun:
@@ -58,7 +59,7 @@
     def __init__(self, seed: int, size: RunSize):
         self._seed, self._size = seed, size
         self._clock, self._network = SystemClock(), TcpNetwork()
-        self._cluster = cluster = RouteCluster(size.zones, size.delay_ms)
+        self._cluster = cluster = RouteCluster(size.zones, size.delay_ms, size.versions)
         self._requests = Requests(self._clock, self._network)
         self._store = StoreWriter(self._requests, cluster.store)
         self._group = SupervisedTaskGroup()
@@ -68,6 +69,7 @@
             cluster.replicas, self._proxy_addresses, self._requests, self._store
         )
         self._down_since: dict[str, float] = {}
+        self._down_spans: list[Span] = []
         self._drained_spans: list[Span] = []
         self._paused_spans: list[Span] = []
         self._link_faults: list[Span] = []
@@ -121,6 +123,7 @@
             [host.name for host in self._cluster.hosts],
             [replica.name for replica in self._cluster.replicas],
             list(self._size.zones),
+            self._size.versions,
         )
         hosts = {
             host.name: parse_address(host.listen["callers"])
@@ -160,6 +163,8 @@
             self._stale_directory_entries,
             self._limited,
             self._link_faults,
+            self._down_spans,
+            self._replicas.serving_spans(),
         )
 
     async def _apply(self, step: Step) -> None:
@@ -175,6 +180,10 @@
             await self._replicas.refuse(step)
         elif step.kind == "take_over":
             await self._replicas.take_over(step)
+        elif step.kind == "roll":
+            await self._replicas.roll(step)
+        elif step.kind == "restart":
+            await self._replicas.restart(step)
         elif step.kind == "restore":
             await self._store.restore(step.duration)
         elif step.kind == "reset":
@@ -192,7 +201,7 @@
         process = self._cluster.processes[step.target]
         if step.target in self._down_since or process.poll() is not None:
             return
-        self._down_since[step.target] = self._clock.monotonic()
+        since = self._down_since[step.target] = self._clock.monotonic()
         signal_number = signal.SIGKILL if step.kind == "kill" else signal.SIGTERM
         process.send_signal(signal_number)
         while process.poll() is None:
@@ -203,6 +212,7 @@
         del self._down_since[step.target]
         self._cluster.start_host(host)
         await self._requests.wait_until(host.name, lambda: self._is_ready(host))
+        self._down_spans.append(Span(host.name, since, self._clock.monotonic()))
 
     async def _pause(self, step: Step) -> None:
         process = self._cluster.processes[step.target]
@@ -232,6 +242,8 @@
             return  # The end of this operation would undo the one in progress.
         self._replicas.reserved.update(replica_names)
         if step.kind == "evacuate":
+            for name in replica_names:
+                self._replicas.set_serving(name, False)
             await self._store.write(f"op/evacuate/{step.target}", b"{}")
         else:
             await self._replicas.register(step.target, "draining")
@@ -239,11 +251,13 @@
         await self._clock.sleep(max_seconds + step.duration)
         until = self._clock.monotonic()
         self._drained_spans += [Span(name, since, until) for name in replica_names]
-        self._replicas.reserved.difference_update(replica_names)
         if step.kind == "evacuate":
             await self._store.write(f"op/evacuate/{step.target}", None)
+            for name in replica_names:
+                self._replicas.set_serving(name, True)
         else:
             await self._replicas.register(step.target)
+        self._replicas.reserved.difference_update(replica_names)
 
     async def _watch_directory(self) -> None:
         while True:
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -58,11 +58,12 @@
 
 
 class ReplicaProcess(NamedTuple):
-    """The name, zone and address of an emulated replica."""
+    """The name, zone and address of an emulated replica, and its software version."""
 
     name: str
     zone: str
     address: str
+    version: str = "v1"
 
 
 class Answer(NamedTuple):
@@ -102,10 +103,15 @@
 
     `zones` gives the numbers of hosts and replicas of each zone. Each zone is a
     separate region. `delay_ms` is how long replicas take for an answer, and for each
-    event of a stream.
+    event of a stream. The replicas have the software `versions` in turn.
     """
 
-    def __init__(self, zones: dict[str, tuple[int, int]], delay_ms: float = 20.0):
+    def __init__(
+        self,
+        zones: dict[str, tuple[int, int]],
+        delay_ms: float = 20.0,
+        versions: tuple[str, ...] = ("v1",),
+    ):
         self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
         self.folder = Path(self._folder.name)
         self.used_addresses: set[str] = set()
@@ -117,6 +123,7 @@
         self.replicas: list[ReplicaProcess] = []
         self._zones = zones
         self._delay_ms = delay_ms
+        versions_in_turn = itertools.cycle(versions)
         for zone, (hosts, replicas) in zones.items():
             for number in range(hosts):
                 listen = {name: free_address(self.used_addresses) for name in LISTENERS}
@@ -124,7 +131,9 @@
             for number in range(replicas):
                 address = free_address(self.used_addresses)
                 self.replicas.append(
-                    ReplicaProcess(f"r-{zone}-{number}", zone, address)
+                    ReplicaProcess(
+                        f"r-{zone}-{number}", zone, address, next(versions_in_turn)
+                    )
                 )
 
     def __enter__(self):
@@ -149,6 +158,7 @@
 
     def start_replica(self, replica: ReplicaProcess) -> None:
         """Start a replica process."""
+        version = (f"--software-version={replica.version}",) if replica.version else ()
         self._start(
             replica.name,
             "sassafraskeel.emulators",
@@ -157,6 +167,7 @@
             replica.name,
             replica.zone,
             f"--delay-ms={self._delay_ms:g}",
+            *version,
         )
 
     def close(self) -> None:
@@ -259,7 +270,7 @@
     replica: ReplicaProcess, state: str = "ready", boot: Boot | None = None
 ) -> bytes:
     """Return the store's entry of a replica, as JSON."""
-    boot = boot or Boot(replica.name)
+    boot = boot or Boot(replica.name, replica.version)
     content = {
         "service": "desk",
         "address": replica.address,
