Check in the soak that streams keep their software version

check_versions finds, from the ledgers of the replicas and from what callers received, the streams with events of two versions, within an answer or over the tries of a caller. check_taken_up finds seeds in which hosts in touch let less than half as many streams go on as new ones begin, of 12 or more whose version has two replicas that serve.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,6 +50,7 @@
             run.close()
         result = "FAILED" if problems else "passed"
         print(f"seed {seed} {result}: {run.call_count} calls", flush=True)
+        print(f"  {run.stream_counts}", flush=True)
         for problem in problems[:20]:
             print(f"  {problem}", flush=True)
         if problems:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from soak.record import Record, ReplicaRun
+from soak.streams import check_taken_up, check_versions
 
 # Statuses that guarantee that the call did not run and will not run later.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -189,6 +190,8 @@
     check_recovery,
     check_directory,
     check_limits,
+    check_versions,
+    check_taken_up,
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from soak.record import LimitedSpan, Record, Span
 from soak.replicas import SoakReplicas
 from soak.requests import Requests, StoreWriter
+from soak.streams import describe_streams
 from tools.cluster import free_address
 from tools.route_cluster import RouteCluster
 
@@ -52,8 +53,8 @@
 class SoakRun:
     """Runs one seed.
 
-    After a run, `call_count` is the number of calls, and `logs` holds the log of each
-    process.
+    After a run, `call_count` is the number of calls, `stream_counts` says how many
+    streams went on, and `logs` holds the log of each process.
     """
 
     def __init__(self, seed: int, size: RunSize):
@@ -80,12 +81,15 @@
         # Unknown until the last fault has ended.
         self._calls_end_at = math.inf
         self.call_count = 0
+        self.stream_counts = ""
 
     async def run(self) -> list[str]:
         """Run the seed and return the problems that the checks found."""
         try:
             await self._start()
-            return find_problems(await self._run_schedule())
+            record = await self._run_schedule()
+            self.stream_counts = describe_streams(record)
+            return find_problems(record)
         finally:
             await self._group.close()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from soak.checks import find_problems
 from soak.plan import Targets, make_plan
-from soak.record import LimitedSpan, Outcome, Record, ReplicaRun, Span
+from soak.record import LimitedSpan, Outcome, Record, ReplicaRun, ServingSpan, Span
 from soak.run import RunSize, SoakRun
 
 TARGETS = Targets(["h-0", "h-1"], ["r-0", "r-1"], ["z-0"])
@@ -34,6 +34,7 @@
     stale_directory_entries=(),
     limited=(),
     link_faults=(),
+    serving=(),
 ):
     """Return a record with enough served calls after the faults, and the given ones."""
     good = [outcome(number) for number in range(100, 130)]
@@ -48,6 +49,7 @@
         list(stale_directory_entries),
         list(limited),
         list(link_faults),
+        serving=list(serving),
     )
 
 
@@ -147,6 +149,52 @@
         ]
         self.assertEqual(self.failed_checks(*lost), {"check_recovery"})
 
+    def test_stream_of_two_versions(self):
+        """Guards against streams with events of two versions that are not reported."""
+        broken = outcome(1, "chat", event_ids=(1, 2), is_complete=False)
+        rest = outcome(2, "chat", event_ids=(3,), resumes="c-1", last_event_id=2)
+        first = ReplicaRun("c-1", "r-0", 30.0, version="v1")
+
+        def failed(*outcomes, **fields):
+            after = ReplicaRun(outcomes[-1].call_id, "r-1", 30.1)._replace(**fields)
+            return self.failed_checks(*outcomes, runs=[first, after])
+
+        taken_up = (broken, rest)
+        self.assertEqual(
+            failed(*taken_up, last_event_id=2, version="v2"), {"check_versions"}
+        )
+        self.assertEqual(failed(*taken_up, last_event_id=2, version="v1"), set())
+        answer = outcome(1, "chat", event_ids=ALL_EVENTS)
+        self.assertEqual(
+            failed(answer, last_event_id=1, version="v2"), {"check_versions"}
+        )
+        # No event of the first run reached the caller.
+        self.assertEqual(failed(answer, last_event_id=0, version="v2"), set())
+
+    def test_streams_not_taken_up(self):
+        """Guards against hosts that refuse all streams that are taken up."""
+        times = {"sent_at": 20.0, "ended_at": 20.2}
+        chats = [
+            outcome(n, "chat", event_ids=(1,), is_complete=False, **times)
+            for n in range(12)
+        ]
+        refused = [
+            outcome(f"{n}-1", "chat", 503, resumes=f"c-{n}", last_event_id=1, **times)
+            for n in range(12)
+        ]
+        outcomes = [*chats, *refused]
+        runs = [ReplicaRun(chat.call_id, "r-0", 20.0) for chat in chats]
+        serving = [ServingSpan(f"r-{n}", "v1", 10.0, 40.0) for n in range(2)]
+        paused = Span("h-0", 16.0, 16.1)
+        one_version = [serving[0], serving[1]._replace(version="v2")]
+        for items, fields, expected in (
+            (outcomes, {"serving": serving}, {"check_taken_up"}),
+            (outcomes[:-1], {"serving": serving}, set()),
+            (outcomes, {"serving": one_version}, set()),
+            (outcomes, {"serving": serving, "paused": [paused]}, set()),
+        ):
+            self.assertEqual(self.failed_checks(*items, runs=runs, **fields), expected)
+
     def test_dead_host_in_directory(self):
         """Guards against a directory that lists a stopped host."""
         self.assertEqual(
