Take up streams in the demo, and replace a replica

Callers break streams off after the first event and take them up at other hosts. The demo fails if less than half go on, or if one has run at replicas of two software versions. A replica is drained and replaced by another one at its address.

--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import json
+import re
 import signal
 import subprocess
 import sys
@@ -14,7 +15,7 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-from sassafraskeel.emulators.replica import Boot
+from sassafraskeel.emulators.replica import LEDGER_PATH, Boot
 from tools.cluster import free_address
 
 READY_SECONDS = 20.0
@@ -88,14 +89,35 @@
         return Answer(0, {}, b"")
 
 
-def call(host: HostProcess, path, method="GET", call_id="c", deadline_ms=5000):
+def call(
+    host: HostProcess, path, method="GET", call_id="c", deadline_ms=5000, headers=None
+):
     """Send a call with an id and a deadline to a host and return the answer."""
-    headers = {
+    headers = _call_headers(call_id, deadline_ms) | (headers or {})
+    return fetch(host.listen["callers"], method, path, headers)
+
+
+def begin_stream(host: HostProcess, path, call_id="c", deadline_ms=5000) -> int:
+    """Close a stream after its first event; return the event's id, 0 without one."""
+    conn = http.client.HTTPConnection(host.listen["callers"], timeout=10.0)
+    try:
+        conn.request("POST", path, headers=_call_headers(call_id, deadline_ms))
+        answer = conn.getresponse()
+        event = re.match(rb"id: (\d+)\n", answer.readline())
+        is_whole = answer.readline() and answer.readline() == b"\n"
+        return int(event[1]) if event and is_whole else 0
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        conn.close()
+
+
+def _call_headers(call_id: str, deadline_ms: int) -> dict[str, str]:
+    return {
         "Host": HOST_NAME,
         "X-Sassafraskeel-Request-Id": call_id,
         "X-Sassafraskeel-Deadline-Ms": str(deadline_ms),
     }
-    return fetch(host.listen["callers"], method, path, headers)
 
 
 class RouteCluster:
@@ -236,13 +258,18 @@
 
     def runs(self) -> dict[str, int]:
         """Return the number of runs of each call id over all replicas."""
-        total: dict[str, int] = {}
+        return {name: len(versions) for name, versions in self.run_versions().items()}
+
+    def run_versions(self) -> dict[str, list[str]]:
+        """Return the software version of each run of each call id."""
+        found: dict[str, list[str]] = {}
         for replica in self.replicas:
-            answer = fetch(replica.address, "GET", "/test/ledger")
-            runs = json.loads(answer.body)["runs"] if answer.status == 200 else {}
-            for name, count in runs.items():
-                total[name] = total.get(name, 0) + count
-        return total
+            answer = fetch(replica.address, "GET", LEDGER_PATH)
+            log = json.loads(answer.body)["log"] if answer.status == 200 else []
+            for run in log:
+                version = Boot(*run["boot"]).version
+                found.setdefault(run["request_id"], []).append(version)
+        return found
 
     def log(self, name: str) -> str:
         """Return the log of a process."""
--- a/tools/route_demo.py
+++ b/tools/route_demo.py
@@ -8,9 +8,20 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from sassafraskeel.decisions.replica_statements import BURST
-from sassafraskeel.emulators.replica import LEDGER_PATH, LIMIT_PATH
+from sassafraskeel.emulators.replica import (
+    BOOT_PATH,
+    LEDGER_PATH,
+    LIMIT_PATH,
+    Boot,
+)
 from sassafraskeel.emulators.store import COPY_PATH
-from tools.route_cluster import RouteCluster, call, fetch, replica_entry
+from tools.route_cluster import (
+    RouteCluster,
+    begin_stream,
+    call,
+    fetch,
+    replica_entry,
+)
 
 ZONES = {"serra-a": (2, 2), "campos-a": (2, 1), "planalto-a": (1, 1)}
 PATHS = (
@@ -21,6 +32,8 @@
 )
 CALLS = 120
 CALLERS = 12
+# The software versions of the replicas, in turn.
+VERSIONS = ("v1",)
 # Requests per second that a replica takes in the phase in which it names a limit, and
 # the seconds in which hosts learn of it.
 LIMIT = 2.0
@@ -73,6 +86,42 @@
     return passed and count <= allowed
 
 
+def run_streams_phase(cluster: RouteCluster, hosts, phase: str) -> bool:
+    """Break streams off and take them up at other hosts.
+
+    Return whether half of them or more went on, each at one software version.
+    """
+    path = "/stream/chat/question"
+
+    def take_up(number: int):
+        first_id, second_id = uuid.uuid4().hex, uuid.uuid4().hex
+        event_id = begin_stream(hosts[number % len(hosts)], path, first_id)
+        headers = {"Resumes": first_id, "Last-Event-Id": str(event_id)}
+        host = hosts[(number + 1) % len(hosts)]
+        answer = call(host, path, "POST", second_id, headers=headers)
+        return first_id, second_id, event_id > 0 and answer.status == 200
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        streams = list(pool.map(take_up, range(CALLS)))
+    versions = cluster.run_versions()
+    went_on = sum(is_served for _, _, is_served in streams)
+    mixed = sum(
+        len({*versions.get(first_id, ()), *versions.get(second_id, ())}) > 1
+        for first_id, second_id, _ in streams
+    )
+    print(f"{phase:32} went on {went_on:5} of {CALLS}, of two versions {mixed}")
+    return 2 * went_on >= CALLS and not mixed
+
+
+def replace_replica(cluster: RouteCluster, replica, boot: Boot) -> None:
+    """Drain a replica, and start another one at its address."""
+    cluster.write(f"servers/{replica.name}", replica_entry(replica, "draining"))
+    time.sleep(LEARN_SECONDS)
+    cluster.write(f"servers/{replica.name}", None)
+    fetch(replica.address, "PUT", BOOT_PATH, body=json.dumps(boot).encode())
+    cluster.write(f"servers/{boot.name}", replica_entry(replica, boot=boot))
+
+
 def restore_store(cluster: RouteCluster) -> None:
     """Restore the store from a copy that lacks a version of the manifest."""
     fetch(cluster.store, "PUT", COPY_PATH)
@@ -93,11 +142,16 @@
 
 def main() -> int:
     """Run all phases and return the exit status."""
-    with RouteCluster(ZONES) as cluster:
+    with RouteCluster(ZONES, versions=VERSIONS) as cluster:
         names = ", ".join(host.name for host in cluster.hosts)
         print(f"hosts {names}; {len(cluster.processes)} processes")
         passed = run_phase(cluster, cluster.hosts, "all hosts")
         passed &= run_limited_phase(cluster, cluster.replicas[0])
+        passed &= run_streams_phase(cluster, cluster.hosts, "streams taken up")
+        rolled = cluster.replicas[1]
+        replace_replica(cluster, rolled, Boot("r-new", VERSIONS[0], 2))
+        passed &= run_phase(cluster, cluster.hosts, f"{rolled.name} replaced")
+        passed &= run_streams_phase(cluster, cluster.hosts, "streams taken up")
         killed, *others = cluster.hosts
         cluster.stop(killed.name, 9)
         passed &= run_phase(cluster, others, f"{killed.name} killed")
