Record the software versions of services in the store

A host that starts can't know whether another version served just before.

Coordinators record in the store which versions the streams of each service may have. A version stays on record until another one has been listed alone for as long as its streams may be taken up; a record of another era of the store does not count. A host that is answered by no other one needs an answer of the store from the last 0.6 s.

--- a/sassafraskeel/calls/stream_versions.py
+++ b/sassafraskeel/calls/stream_versions.py
@@ -14,15 +14,15 @@
 from sassafraskeel.core.types import Call, CallKind
 from sassafraskeel.decisions.fleet import Replica, printable_version
 from sassafraskeel.decisions.stream_origins import OriginLookup, StreamOrigin
+from sassafraskeel.decisions.version_history import MAX_AGE_SECONDS, stream_lifetime
 
 # Origins are kept for this long after the deadline of the call that recorded them,
 # because callers take streams up later than that only if they were told to wait.
 KEEP_SECONDS = 30.0
-# A caller may take a stream up until its own deadline, which may be later than that of
-# its first attempt by as much again.
-LIFETIME_TIMEOUTS = 2.0
-# Other hosts may send calls to a replica for this long after its entry has ended here.
-LINGER_SECONDS = 5.0
+# A host that no other host answers may be cut off, and miss versions that others serve.
+# It relies on an answer of the store that is younger than this: a stream at a new
+# version takes longer to begin, to break off and to be taken up.
+FRESH_SECONDS = 0.6
 
 
 class OriginSource(Protocol):
@@ -87,14 +87,11 @@
         if lookup.origin is not None:
             service, version = lookup.origin
             return (version, "origin") if service == call.service else ("", "")
-        local_host = self._state.hosts.local_host
-        others = [
-            h for h in self._state.hosts.registered() if h.name != local_host.name
-        ]
-        if others and not lookup.replies:
-            # A host that is cut off has not heard of versions that others may serve.
-            return "", ""
-        version = self._only_version(call)
+        max_age = MAX_AGE_SECONDS if lookup.replies else FRESH_SECONDS
+        table, now = self._state.fleet.table, self._clock.monotonic()
+        version = self._state.versions.single_version(
+            call.service, now, stream_lifetime(table), max_age
+        )
         return version, "history" if version else ""
 
     def bind_rest(self, call: Call, history: AttemptHistory) -> Call:
@@ -141,10 +138,3 @@
             and known.started_at_ms != replica.started_at_ms
             and known.software_version != replica.software_version
         )
-
-    def _only_version(self, call: Call) -> str:
-        """Return the version of a service that had no other one, or an empty string."""
-        table, now = self._state.fleet.table, self._clock.monotonic()
-        timeouts = [route.timeout for route in table.manifest.routes] if table else []
-        seconds = LIFETIME_TIMEOUTS * max(timeouts, default=0.0) + LINGER_SECONDS
-        return self._state.versions.single_version(call.service, now, seconds)
--- a/sassafraskeel/platform/documents.py
+++ b/sassafraskeel/platform/documents.py
@@ -31,6 +31,7 @@
     ReplicaListed,
     ReplicaRemoved,
     StoreUpdate,
+    VersionsRecorded,
     ZoneEvacuationChanged,
 )
 
@@ -80,6 +81,8 @@
             if value is None:
                 return CrashTableRemoved(name)
             return CrashTableListed(name, decode_crash_table(value, now))
+        if key == wire.VERSIONS_KEY and value:
+            return decode_versions(value)
         return None
 
     def decode_manifest(self, document: bytes) -> Manifest:
@@ -96,6 +99,10 @@
         """Return the key and the value of the crashes that a host saw."""
         return wire.CRASH_PREFIX + host, encode_crash_table(table, now)
 
+    def encode_versions(self, record: VersionsRecorded) -> tuple[str, bytes]:
+        """Return the key and the value of the versions of services."""
+        return wire.VERSIONS_KEY, json.dumps(record._asdict()).encode()
+
 
 def decode_manifest(value: bytes) -> Manifest:
     """Decode the operators' manifest; raise MalformedDocument."""
@@ -183,6 +190,22 @@
         raise MalformedDocument(f"host: {exc}") from exc
 
 
+def decode_versions(value: bytes) -> VersionsRecorded:
+    """Decode the versions of services; raise MalformedDocument."""
+    content = _parse_object(value)
+    era, services = content.get("era"), content.get("services")
+    if not isinstance(era, int) or not isinstance(services, dict):
+        raise MalformedDocument("versions: a field is missing or malformed")
+    for versions in services.values():
+        if not isinstance(versions, list) or any(
+            not isinstance(version, str) for version in versions
+        ):
+            raise MalformedDocument("versions: a version is malformed")
+    return VersionsRecorded(
+        era, {name: tuple(versions) for name, versions in services.items()}
+    )
+
+
 def _decode_route(entry) -> Route:
     kind = CALL_KINDS[entry["kind"]]
     if entry.get("trafficSplit"):
--- a/sassafraskeel/platform/wire.py
+++ b/sassafraskeel/platform/wire.py
@@ -57,3 +57,5 @@
 HOST_PREFIX = "hosts/"
 # Each host publishes the crashes of replicas that it saw under its name.
 CRASH_PREFIX = "crashes/"
+# Hosts record the software versions of each service's streams here.
+VERSIONS_KEY = "versions"
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -68,6 +68,7 @@
 from sassafraskeel.store.interface import Store
 from sassafraskeel.store.registration import Registration
 from sassafraskeel.store.updates import DocumentCodec
+from sassafraskeel.store.version_recorder import VersionRecorder
 from sassafraskeel.upstreams.cold_start_probes import ColdStartProber
 from sassafraskeel.upstreams.pool import ConnectionPool
 from sassafraskeel.upstreams.replicas import ReplicaClient, ReplicaInterface
@@ -199,6 +200,15 @@
         self._crash_publisher = CrashPublisher(
             local_host.name, self.crashes, env.store, env.codec, env.clock
         )
+        self._version_recorder = VersionRecorder(
+            self._routing_state.versions,
+            self.fleet,
+            self.coordination,
+            lambda: self.follower.era,
+            env.store,
+            env.codec,
+            env.clock,
+        )
         self._registration = Registration(
             env.store,
             env.codec,
@@ -412,6 +422,7 @@
                 (self._manifest_peers.follow, self.follower.apply_document),
                 (self._registration.run,),
                 (self._crash_publisher.run,),
+                (self._version_recorder.run,),
                 (self._cold_start_prober.run, self._group),
                 (self._route_links.run, self._group),
                 (self.stream_origins.run,),
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -35,6 +35,7 @@
     ManifestSource,
     ReplicaListed,
     ReplicaRemoved,
+    VersionsRecorded,
     ZoneEvacuationChanged,
 )
 
@@ -92,6 +93,11 @@
         self.feed = ChangeFeed(clock)
         self.answered_at: float | None = None
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store's last answer."""
+        return self._revision.era
+
     async def run(self) -> None:
         """Follow the store forever."""
         backoff = RETRY_MIN_SECONDS
@@ -205,6 +211,9 @@
                 self._log_host(host.name, host.incarnation, change.revision)
         elif isinstance(update, HostRemoved):
             self._unregister(update.name, change.revision)
+        elif isinstance(update, VersionsRecorded):
+            is_valid = update.era == change.revision.era
+            self._versions.recorded(update.services if is_valid else {})
         return update
 
     async def apply_document(self, document: bytes, peer: str = "") -> None:
--- a/sassafraskeel/store/updates.py
+++ b/sassafraskeel/store/updates.py
@@ -61,6 +61,16 @@
     host: str
 
 
+class VersionsRecorded(NamedTuple):
+    """Hosts recorded which software versions the streams of each service may have.
+
+    The record was made in an era of the store; of another one, it may be outdated.
+    """
+
+    era: int
+    services: dict[str, tuple[str, ...]]
+
+
 StoreUpdate = (
     ManifestAccepted
     | ZoneEvacuationChanged
@@ -70,6 +80,7 @@
     | HostRemoved
     | CrashTableListed
     | CrashTableRemoved
+    | VersionsRecorded
 )
 
 
@@ -99,3 +110,6 @@
         self, host: str, table: CrashTable, now: float
     ) -> tuple[str, bytes]:
         """Return the key and the value of the crashes that a host saw."""
+
+    def encode_versions(self, record: VersionsRecorded) -> tuple[str, bytes]:
+        """Return the key and the value of the versions of services."""
