Run the soak and the demo with two software versions

The soak runs seven replicas by default, of two versions and without one, so that two of a version serve in most of a run. tests.test_soak gets a short run of this kind, and the demo has replicas of two versions.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,9 +9,9 @@
 import curio
 from pydantic import BaseModel
 
-from soak.run import RunSize, SoakRun
+from soak.run import VERSIONS, RunSize, SoakRun
 
-ZONES = {"north-a": (2, 2), "south-a": (2, 1)}
+ZONES = {"north-a": (2, 4), "south-a": (2, 3)}
 LARGE_ZONES = {f"z{number}-a": (4, 4) for number in range(6)}
 
 
@@ -26,7 +26,7 @@
     seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
     callers: Annotated[int, cappa.Arg(long=True)] = 12
     delay_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
-    versions: Annotated[list[str], cappa.Arg(long=True)] = ["v1"]
+    versions: Annotated[list[str], cappa.Arg(long=True)] = list(VERSIONS)
     large: Annotated[bool, cappa.Arg(long=True)] = False
 
     def __call__(self):
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,6 +27,8 @@
 # Calls are sent for this long after the last fault, to check the recovery.
 RECOVERY_PHASE_SECONDS = 8.0
 DIRECTORY_POLL_SECONDS = 0.5
+# The software versions of replicas, in turn: two, and entries without one.
+VERSIONS = ("v1", "v2", "v1", "v2", "")
 LINK_FAULTS = {
     "delay": Fault(delay=0.4),
     "silence": Fault(forward=False, back=False),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from soak.checks import find_problems
 from soak.plan import Targets, make_plan
 from soak.record import LimitedSpan, Outcome, Record, ReplicaRun, ServingSpan, Span
-from soak.run import RunSize, SoakRun
+from soak.run import VERSIONS, RunSize, SoakRun
 
 TARGETS = Targets(["h-0", "h-1"], ["r-0", "r-1"], ["z-0"])
 ALL_EVENTS = (1, 2, 3)
@@ -241,3 +241,11 @@
         self.addCleanup(run.close)
         self.assertEqual(curio.run(run.run), [])
         self.assertGreater(run.call_count, 50)
+
+    def test_short_run_of_two_versions(self):
+        """Guards against streams that go on at another software version."""
+        zones = {"north-a": (2, 4), "south-a": (1, 2)}
+        run = SoakRun(4, RunSize(6.0, 6, zones, versions=VERSIONS))
+        self.addCleanup(run.close)
+        self.assertEqual(curio.run(run.run), [])
+        self.assertGreater(run.call_count, 50)
--- a/tools/route_demo.py
+++ b/tools/route_demo.py
@@ -33,7 +33,7 @@
 CALLS = 120
 CALLERS = 12
 # The software versions of the replicas, in turn.
-VERSIONS = ("v1",)
+VERSIONS = ("v1", "v2")
 # Requests per second that a replica takes in the phase in which it names a limit, and
 # the seconds in which hosts learn of it.
 LIMIT = 2.0
