--- a/sassafraskeel/gateways/stream_origins.py
+++ b/sassafraskeel/gateways/stream_origins.py
@@ -21,13 +21,13 @@
     OriginLookup,
     StreamOrigin,
     StreamOrigins,
-    StreamRecord,
     choose_partner,
     is_valid_id,
 )
 from sassafraskeel.gateways.control_link import ControlLink
 from sassafraskeel.gateways.link_manager import LinkManager
 from sassafraskeel.gateways.messages import StreamFound, StreamLookup, StreamsBegan
+from sassafraskeel.gateways.stream_lookups import StreamLookups
 from sassafraskeel.gateways.stream_rows import (
     MAX_ROWS,
     Scope,
@@ -52,7 +52,6 @@
 LOOKUP_TIMEOUT_SECONDS = 0.5
 # Time for other regions, so that their answers are in time for the host that asks.
 REGIONS_TIMEOUT_SECONDS = 0.4
-MAX_LOOKUPS = 1024
 
 
 class _Entry(NamedTuple):
@@ -76,20 +75,6 @@
     min_scope: Scope
 
 
-class _Lookup:
-    """Requests that are under way for one stream.
-
-    `replies` counts the hosts that have answered, and `regions` are those of the hosts
-    that know the stream, in the order of their answers.
-    """
-
-    def __init__(self, pending: int):
-        self.pending = pending
-        self.replies = 0
-        self.regions: list[str] = []
-        self.done = curio.Event()
-
-
 class StreamOriginExchange:
     """Spreads the origins of streams over the fleet, and looks them up there.
 
@@ -123,7 +108,6 @@
         self._hosts = hosts
         self._clock = clock
         self._log = log
-        self._group = group
         self._queue: list[_Entry] = []
         self._recent: deque[tuple[float, _Entry]] = deque(maxlen=MAX_QUEUED)
         # Entries for links that were not in use before, by the links' serial numbers.
@@ -131,7 +115,7 @@
         self._filled = curio.Event()
         # Set once what is queued at present has been handed to the links.
         self._flushed = curio.Event()
-        self._lookups: dict[StreamLookup, _Lookup] = {}
+        self.lookups = StreamLookups(self.origins, clock, group)
         self._counts = Counter()
 
     async def began(self, stream_id: str, origin: StreamOrigin, expires: float) -> None:
@@ -169,26 +153,28 @@
             return OriginLookup(None)
         now = self._clock.monotonic()
         record = self.origins.get(stream_id, now)
-        links, found_in, replies = [], "local", 0
-        if record is None:
-            links = self._region_links(now)
-            message = StreamLookup(stream_id, other_regions=True)
-            region_links = self._other_regions_links(now)
-            record, found_in, replies = await self._ask(
-                message, links, region_links, LOOKUP_TIMEOUT_SECONDS
-            )
-            links += region_links
-        if record is not None and record.origin != CONFLICTING:
-            self._counts[found_in] += 1
-            return OriginLookup(record.origin, replies)
-        self._counts["unknown"] += 1
-        self._log.emit(
-            Event.STREAM_ORIGIN_UNKNOWN,
-            stream=stream_id,
-            cause="unknown" if record is None else "conflicting",
-            asked=" ".join(link.peer.name for link in links),
+        if record is not None:
+            return self._count(OriginLookup(record.origin), "local")
+        links, region_links = self._region_links(now), self._other_regions_links(now)
+        message = StreamLookup(stream_id, other_regions=True)
+        reply = await self.lookups.ask(
+            message, links, region_links, LOOKUP_TIMEOUT_SECONDS
         )
-        return OriginLookup(record and CONFLICTING, replies)
+        lookup = OriginLookup(reply.record and reply.record.origin, reply.count)
+        if lookup.origin in (None, CONFLICTING):
+            self._log.emit(
+                Event.STREAM_ORIGIN_UNKNOWN,
+                stream=stream_id,
+                cause="unknown" if lookup.origin is None else "conflicting",
+                asked=" ".join(link.peer.name for link in (*links, *region_links)),
+            )
+        in_region = reply.region == self._local_region()
+        return self._count(lookup, "region" if in_region else "other_region")
+
+    def _count(self, lookup: OriginLookup, found_in: str) -> OriginLookup:
+        is_known = lookup.origin not in (None, CONFLICTING)
+        self._counts[found_in if is_known else "unknown"] += 1
+        return lookup
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the metrics."""
@@ -222,8 +208,8 @@
         if record is None and message.other_regions and is_valid_id(message.stream_id):
             links = self._other_regions_links(now)
             wanted = message._replace(other_regions=False)
-            record, _, _ = await self._ask(wanted, [], links, REGIONS_TIMEOUT_SECONDS)
-            region, now = "", self._clock.monotonic()
+            reply = await self.lookups.ask(wanted, [], links, REGIONS_TIMEOUT_SECONDS)
+            record, region, now = reply.record, "", self._clock.monotonic()
         if record is None or record.expires <= now:
             return StreamFound(*CONFLICTING, 0, "")
         return StreamFound(*record.origin, math.ceil(record.expires - now), region)
@@ -364,64 +350,3 @@
 
     def _local_region(self) -> str:
         return self._hosts.region_of(self._hosts.local_host)
-
-    async def _ask(
-        self,
-        message: StreamLookup,
-        links: list[ControlLink],
-        region_links: list[ControlLink],
-        seconds: float,
-    ) -> tuple[StreamRecord | None, str, int]:
-        """Ask hosts at the same time, until one knows the stream or all have answered.
-
-        Returns its record, "region" or "other_region", and how many answered. Hosts on
-        `region_links` ask no further ones. Lookups of the same stream share their
-        requests.
-        """
-        lookup = self._lookups.get(message)
-        if lookup is None:
-            narrow = message._replace(other_regions=False)
-            requests = [(link, message) for link in links]
-            requests += [(link, narrow) for link in region_links]
-            if len(self._lookups) >= MAX_LOOKUPS or not requests:
-                return None, "", 0
-            lookup = self._lookups[message] = _Lookup(len(requests))
-            for link, sent in requests:
-                await self._group.spawn(
-                    self._request, lookup, message, link, sent, seconds
-                )
-        await lookup.done.wait()
-        if not lookup.regions:
-            return None, "", lookup.replies
-        record = self.origins.get(message.stream_id, self._clock.monotonic())
-        in_region = lookup.regions[0] == self._local_region()
-        found_in = "region" if in_region else "other_region"
-        return record, found_in, lookup.replies
-
-    async def _request(
-        self,
-        lookup: _Lookup,
-        key: StreamLookup,
-        link: ControlLink,
-        message: StreamLookup,
-        seconds: float,
-    ) -> None:
-        try:
-            reply = await link.request(message, seconds)
-            lookup.replies += isinstance(reply, StreamFound)
-            if isinstance(reply, StreamFound) and reply.seconds > 0:
-                self._record_answer(message.stream_id, reply)
-                lookup.regions.append(reply.region)
-        except SassafraskeelError:
-            pass  # The lookup logs which hosts it asked, if none of them knows.
-        finally:
-            lookup.pending -= 1
-            if lookup.regions or not lookup.pending:
-                if self._lookups.get(key) is lookup:
-                    del self._lookups[key]
-                await lookup.done.set()
-
-    def _record_answer(self, stream_id: str, found: StreamFound) -> None:
-        now = self._clock.monotonic()
-        origin = StreamOrigin(found.service, found.software_version)
-        self.origins.record(stream_id, origin, now + found.seconds, now)
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -274,22 +274,24 @@
             replica,
             self._observer,
         )
-        if replica_head.executed:
-            return replica_answer
+        if not replica_head.executed:
+            self._log_rejection(replica, call, conn, replica_head)
+            await self._read_rejection(replica, call, replica_answer)
+            is_misdirected = replica_head.misdirected
+            reason = Reason.NO_UPSTREAM if is_misdirected else Reason.UPSTREAM_REFUSED
+            raise not_run_refusal(reason, replica.name)
+        return replica_answer
+
+    def _log_rejection(self, replica, call, conn, replica_head: ReplicaHead) -> None:
         self._log.emit(
             Event.CALL_REJECTED,
             call=call.call_id,
             to=replica.name,
-            status=head.status,
+            status=replica_head.head.status,
             connection=conn.number,
             earlier=conn.request_count - 1,
             named=replica_head.named,
         )
-        await self._read_rejection(replica, call, replica_answer)
-        reason = (
-            Reason.NO_UPSTREAM if replica_head.misdirected else Reason.UPSTREAM_REFUSED
-        )
-        raise not_run_refusal(reason, replica.name)
 
     async def _get_connection(self, replica, call) -> ClientConnection:
         max_idle = (
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -430,7 +430,7 @@
         found = [(await task.join()).origin for task in finds[1:]]
         self.assertEqual(found, [OLD] * 8)
         self.assertEqual(len(asked), 1)
-        self.assertFalse(other.stream_origins._lookups)
+        self.assertEqual(len(other.stream_origins.lookups), 0)
 
     @with_routes(world_options=FLEET)
     async def test_full_queue(self, world):
