Let hosts that the store turns away follow it through other hosts

The store turned the coordinator of a region away for seconds and served other hosts. They heard that a zone was evacuated; the coordinator did not, and went on granting its replicas, which had become cold. It had learned newer manifests from peers, but nothing else.

A host whose watch fails now asks the standby and the coordinators of the other regions, if it has links to them. Changes keep the age of the store's answer, so that hosts that follow each other do not take old changes for new ones.

tests.test_store_of_other_hosts: 4 of 12 and 8 of 12 reads went to an evacuated zone before, none now. Suite: 718 passed.

--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -116,7 +116,7 @@
         506, Level.INFO, "coordinator of the region changed"
     )
     FEED_LOST = EventSpec(507, Level.INFO, "store is followed directly")
-    FEED_USED = EventSpec(508, Level.INFO, "store is followed through the coordinator")
+    FEED_USED = EventSpec(508, Level.INFO, "store is followed through another host")
     STREAM_ORIGIN_UNKNOWN = EventSpec(509, Level.INFO, "origin of a stream is unknown")
     SPARE_FAILED = EventSpec(504, Level.INFO, "spare connection could not be opened")
     SHEET_INSTALLED = EventSpec(601, Level.INFO, "sheet installed")
--- a/sassafraskeel/gateways/route_links.py
+++ b/sassafraskeel/gateways/route_links.py
@@ -67,6 +67,13 @@
             return None
         return link
 
+    def other_links(self) -> list[ControlLink]:
+        """Return the links to the standby and to the coordinators of other regions."""
+        coordinator = self.coordinator_link()
+        now = self._clock.monotonic()
+        links = [self._parts.links.link(host.name) for host in self._linked_hosts(now)]
+        return [link for link in links if link is not None and link is not coordinator]
+
     async def run(self, group: SupervisedTaskGroup) -> None:
         """Maintain links and connections; never returns."""
         parts = self._parts
--- a/sassafraskeel/gateways/store_feed.py
+++ b/sassafraskeel/gateways/store_feed.py
@@ -36,6 +36,9 @@
 MAX_FEED_AGE_SECONDS = 1.9
 # After a failure of the feed, the store is followed directly for this long.
 DIRECT_SECONDS = 2.0
+# While the store turns the local host away, it is asked again after this time.
+RELAYED_SECONDS = 1.0
+FIRST_WATCH_SECONDS = 0.1
 # Changes in one message; the rest follows with the next request.
 MAX_FEED_CHANGES = 256
 MAX_FEED_BYTES = 512 * 1024
@@ -49,26 +52,33 @@
     the coordinators watch the store itself. All other calls go to the store.
     `coordinator_link` returns the link to the coordinator, or None if the local host
     coordinates its region or has no link.
+
+    The store may turn some hosts away while it serves others. Then the hosts at the
+    ends of `other_links` are asked, and answer if the store answers them.
     """
 
     def __init__(
         self,
         store: Store,
         coordinator_link: Callable[[], ControlLink | None],
+        other_links: Callable[[], list[ControlLink]],
         clock: Clock,
         log: LogSink,
     ):
         self._store = store
         self._coordinator_link = coordinator_link
+        self._other_links = other_links
         self._clock = clock
         self._log = log
         self._direct_until = 0.0
-        self._follows_directly = True
+        self._relayed_until = 0.0
+        self._relaying_host = ""
+        self._follows_coordinator = False
 
     @property
-    def follows_directly(self) -> bool:
-        """Return whether the latest watch went to the store itself."""
-        return self._follows_directly
+    def follows_coordinator(self) -> bool:
+        """Return whether the latest watch went to the coordinator of the region."""
+        return self._follows_coordinator
 
     async def read_all(self) -> ChangeBatch:
         return await self._store.read_all()
@@ -86,14 +96,46 @@
                 self._direct_until = self._clock.monotonic() + DIRECT_SECONDS
                 self._log.emit(Event.FEED_LOST, peer=link.peer.name, detail=str(exc))
             else:
-                if self._follows_directly:
+                if not self._follows_coordinator:
                     self._log.emit(
                         Event.FEED_USED, peer=link.peer.name, **after.log_fields()
                     )
-                self._follows_directly = False
+                self._follows_coordinator = True
+                self._relaying_host = ""
+                return batch
+        self._follows_coordinator = False
+        if self._clock.monotonic() < self._relayed_until:
+            batch = await self._watch_other_hosts(after)
+            if batch is not None:
                 return batch
-        self._follows_directly = True
-        return await self._store.watch(after, seconds)
+        if self._relayed_until:
+            # Its answer shows soon that the store no longer turns this host away.
+            seconds = min(seconds, FIRST_WATCH_SECONDS)
+        try:
+            batch = await self._store.watch(after, seconds)
+            self._relayed_until, self._relaying_host = 0.0, ""
+            return batch
+        except PlatformUnavailable:
+            self._relayed_until = self._clock.monotonic() + RELAYED_SECONDS
+            batch = await self._watch_other_hosts(after)
+            if batch is None:
+                raise
+            return batch
+
+    async def _watch_other_hosts(self, after: StoreRevision) -> ChangeBatch | None:
+        """Return changes from the first host that has them, None if there is none."""
+        for link in self._other_links():
+            try:
+                batch = await self._watch_feed(link, after)
+            except SassafraskeelError:
+                continue  # The store can't be read as a whole either.
+            if link.peer.name != self._relaying_host:
+                self._log.emit(
+                    Event.FEED_USED, peer=link.peer.name, **after.log_fields()
+                )
+            self._relaying_host = link.peer.name
+            return batch
+        return None
 
     async def put(
         self, key: str, value: bytes, lease: Lease | None = None
@@ -127,10 +169,11 @@
 
 
 class FeedServer:
-    """Answers feed requests while the local host follows the store itself.
+    """Answers feed requests, unless the local host follows the coordinator.
 
-    `store_age` returns the age of the store's last answer in seconds, None before the
-    first one.
+    An answer has the age of the store's own last answer, so that hosts that follow each
+    other do not take old changes for new ones. `store_age` returns that age in seconds,
+    None before the first answer.
     """
 
     def __init__(
@@ -146,8 +189,10 @@
     async def answer(self, peer: HostInfo, request: FeedRequest):
         """Return FeedChanges, or Refuse if the peer must read the store itself."""
         age = self._store_age()
-        if not self._store.follows_directly or age is None:
+        if self._store.follows_coordinator or age is None:
             return _refuse("this host does not follow the store")
+        if age > MAX_FEED_AGE_SECONDS:
+            return _refuse("this host does not reach the store")
         try:
             after = StoreRevision(request.era, request.after)
             batch = await self._feed.wait(after, FEED_WAIT_SECONDS)
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -173,6 +173,7 @@
         self._feed_store = FeedStore(
             env.store,
             lambda: self._route_links.coordinator_link(),
+            lambda: self._route_links.other_links(),
             env.clock,
             env.log,
         )
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -158,7 +158,7 @@
 
     async def _watch(self) -> None:
         batch = await self._store.watch(self._revision, WATCH_SECONDS)
-        self._record_answer()
+        self._record_answer(batch.age)
         now = self._clock.monotonic()
         for change in batch.changes:
             self._apply(change, now)
@@ -334,9 +334,10 @@
         )
         await self._on_restore()
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, age: float = 0.0) -> None:
+        """Record an answer of the store, which other hosts may have passed on."""
         now = self._clock.monotonic()
-        self.answered_at = now
+        self.answered_at = now - age
         self._fleet.store_answered(now)
         self._hosts.store_answered(now)
         if self._unavailable:
