Judge the versions of streams in the soak by their events

Each emulated event now names the replica that wrote it and its version, so that the check judges what callers received; it finds at least as much, since a mixed stream holds such events. Logs are kept when a seed ends in an error.

--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -44,6 +44,11 @@
     version: str = "v1"
     born: int = 1
 
+    @property
+    def software(self) -> str:
+        """Return the version, or one that equals no other if the entry names none."""
+        return self.version or f"{self.name}/{self.born}"
+
 
 class Run(NamedTuple):
     """A request that the replica began to execute, until `ended_at`, if it ended."""
@@ -69,6 +74,8 @@
 class ReplicaEmulator:
     """Runs plain requests, and streams `event_count` events below /stream/.
 
+    Each event tells the replica that wrote it, and its software version.
+
     `refuse`, `hang` and `fail` count the next requests that are refused unexecuted,
     never answered, and answered with 500. `crash_after` cuts each stream after that
     many events. When it would begin to answer a request to `crash_path`, or a prompt
@@ -293,6 +300,7 @@
 
     async def _stream(self, run_number: int, last_event_id: int, crashes: bool):
         self.running += 1
+        writer = f"{self.name} {self.boot.software}"
         try:
             if crashes and not self.crash_events:
                 await self._crash()
@@ -302,7 +310,7 @@
                 if self.crash_after is not None and number > self.crash_after:
                     raise ConnectionLost("replica crashed during a stream")
                 await self._clock.sleep(self.delay)
-                yield f"id: {number}\ndata: piece {number}\n\n".encode()
+                yield f"id: {number}\ndata: piece {number} of {writer}\n\n".encode()
         finally:
             self.running -= 1
             self._end_run(run_number)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,19 +43,20 @@
         sys.exit(1 if failed else 0)
 
     def _run_seed(self, seed: int, size: RunSize) -> bool:
-        run = SoakRun(seed, size)
+        run, passed = SoakRun(seed, size), False
         try:
             problems = curio.run(run.run)
+            passed = not problems
         finally:
+            if not passed:
+                run.save_logs(Path("target/soak") / str(seed))
             run.close()
         result = "FAILED" if problems else "passed"
         print(f"seed {seed} {result}: {run.call_count} calls", flush=True)
         print(f"  {run.stream_counts}", flush=True)
         for problem in problems[:20]:
             print(f"  {problem}", flush=True)
-        if problems:
-            run.save_logs(Path("target/soak") / str(seed))
-        return bool(problems)
+        return not passed
 
 
 if __name__ == "__main__":
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,10 +10,12 @@
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.http_client import ClientConnection, connect
 from sassafraskeel.core.net import Address, Network
-from soak.record import Outcome
+from soak.record import Outcome, Writer
 
 STAMP_HEADER = b"x-sassafraskeel-response-stamp"
-WHOLE_EVENT = re.compile(rb"^id: (\d+)\ndata: [^\n]*\n\n", re.MULTILINE)
+WHOLE_EVENT = re.compile(
+    rb"^id: (\d+)\ndata: piece \d+ of (\S+) (\S+)\n\n", re.MULTILINE
+)
 KINDS = {
     "read": ("GET", "/read/lot"),
     "order": ("POST", "/order/weighing"),
@@ -104,7 +106,9 @@
                 is_complete = not was_cut
         except SassafraskeelError:
             is_complete = False  # The received part is recorded and checked.
-        event_ids = tuple(int(text) for text in WHOLE_EVENT.findall(data))
+        events = WHOLE_EVENT.findall(data)
+        event_ids = tuple(int(event_id) for event_id, *_ in events)
+        writers = tuple(Writer(*map(bytes.decode, rest)) for _, *rest in events)
         ended_at = self._clock.monotonic()
         outcome = Outcome(
             call_id,
@@ -120,6 +124,7 @@
             resumes,
             last_event_id,
             was_cut,
+            writers,
         )
         self.outcomes.append(outcome)
         if not is_complete or not self._conn.prepare_for_reuse():
--- a/soak/record.py
+++ b/soak/record.py
@@ -3,6 +3,13 @@
 from typing import NamedTuple
 
 
+class Writer(NamedTuple):
+    """The replica that wrote an event, and the version of its software."""
+
+    replica: str
+    version: str
+
+
 class Outcome(NamedTuple):
     """The result of one call at its caller.
 
@@ -12,7 +19,7 @@
     order of arrival. `timeout` is in seconds; times are monotonic seconds. A call that
     takes a stream up has in `resumes` the call that brought the first event, and in
     `last_event_id` the event after which it goes on. `was_cut` is whether the caller
-    closed the connection during the answer.
+    closed the connection during the answer. `writers` has one entry for each event.
     """
 
     call_id: str
@@ -28,22 +35,19 @@
     resumes: str = ""
     last_event_id: int = 0
     was_cut: bool = False
+    writers: tuple[Writer, ...] = ()
 
 
 class ReplicaRun(NamedTuple):
     """A run of a call at a replica; times are monotonic seconds.
 
-    `ended_at` is None if the replica was still at work when it was asked. A run of a
-    stream begins after `last_event_id`. `version` is that of the replica's software;
-    for an entry without one it equals that of no other boot.
+    `ended_at` is None if the replica was still at work when it was asked.
     """
 
     call_id: str
     replica: str
     started_at: float
     ended_at: float | None = None
-    last_event_id: int = 0
-    version: str = "v1"
 
 
 class Span(NamedTuple):
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -106,7 +106,7 @@
         now = self._clock.monotonic()
         since = self._serving_since.pop(name, None)
         if since is not None:
-            version = _version_of(self._boots[name])
+            version = self._boots[name].software
             self._serving.append(ServingSpan(name, version, since, now))
         if serving:
             self._serving_since[name] = now
@@ -123,14 +123,7 @@
         for name in self._processes:
             ledger = await self._ask(name, "GET", LEDGER_PATH)
             found += [
-                ReplicaRun(
-                    run["request_id"],
-                    name,
-                    run["started_at"],
-                    run["ended_at"],
-                    int(run["last_event_id"] or 0),
-                    _version_of(Boot(*run["boot"])),
-                )
+                ReplicaRun(run["request_id"], name, run["started_at"], run["ended_at"])
                 for run in ledger["log"]
             ]
         return found
@@ -157,8 +150,3 @@
     def _entry(self, name: str, state: str = "ready") -> bytes:
         process = self._processes[name]._replace(address=self._addresses[name])
         return replica_entry(process, state, self._boots[name])
-
-
-def _version_of(boot: Boot) -> str:
-    """Return the version of a boot, or one of its own if its entry names none."""
-    return boot.version or f"{boot.name}/{boot.born}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -55,8 +55,8 @@
 class SoakRun:
     """Runs one seed.
 
-    After a run, `call_count` is the number of calls, `stream_counts` says how many
-    streams went on, and `logs` holds the log of each process.
+    After a run, `call_count` is the number of calls, and `stream_counts` says how many
+    streams went on.
     """
 
     def __init__(self, seed: int, size: RunSize):
@@ -100,9 +100,10 @@
         self._cluster.close()
 
     def save_logs(self, folder: Path) -> None:
-        """Write the logs of the processes into a folder, one file each."""
+        """Write the logs of the processes into a folder, before `close`."""
         folder.mkdir(parents=True, exist_ok=True)
-        for name, text in self.logs.items():
+        for name in self._cluster.processes:
+            text = self._cluster.log(name)
             (folder / f"{name}.log").write_text(text, encoding="utf-8")
 
     async def _start(self) -> None:
@@ -158,7 +159,6 @@
         outcomes = [outcome for caller in callers for outcome in caller.outcomes]
         self.call_count = len(outcomes)
         runs = await self._replicas.runs()
-        self.logs = {name: self._cluster.log(name) for name in self._cluster.processes}
         return Record(
             outcomes,
             runs,
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -3,7 +3,7 @@
 import itertools
 from typing import NamedTuple
 
-from soak.record import Outcome, Record, ReplicaRun, Span
+from soak.record import Outcome, Record, Span, Writer
 
 # A host is in touch after this time without faults of its own or of the store.
 STABLE_SECONDS = 6.0
@@ -27,38 +27,17 @@
     taken_up: list[Outcome]
 
 
-def find_writers(record: Record) -> dict[str, list[ReplicaRun]]:
-    """Return, by call, the runs of which its caller received events.
-
-    The events of a run end where the next run of its call goes on.
-    """
-    runs: dict[str, list[ReplicaRun]] = {}
-    for run in sorted(record.runs, key=lambda run: run.started_at):
-        runs.setdefault(run.call_id, []).append(run)
-    writers = {}
-    for outcome in record.outcomes:
-        if not outcome.event_ids:
-            continue
-        last = outcome.event_ids[-1]
-        found = runs.get(outcome.call_id, [])
-        ends = [min(last, run.last_event_id) for run in found[1:]] + [last]
-        pairs = zip(found, ends, strict=False)
-        writers[outcome.call_id] = [r for r, end in pairs if r.last_event_id < end]
-    return writers
-
-
 def check_versions(record: Record) -> list[str]:
     """Return the streams with events from replicas of two software versions."""
-    writers = find_writers(record)
-    streams: dict[str, list[ReplicaRun]] = {}
+    streams: dict[str, list[Writer]] = {}
     for outcome in record.outcomes:
         name = outcome.resumes or outcome.call_id
-        streams.setdefault(name, []).extend(writers.get(outcome.call_id, ()))
+        streams.setdefault(name, []).extend(outcome.writers)
     return [
-        f"{after.call_id} went on with {name} at {after.replica} of {after.version}, "
+        f"{name} went on at {after.replica} of {after.version}, "
         f"from {before.replica} of {before.version}"
-        for name, found in streams.items()
-        for before, after in itertools.pairwise(found)
+        for name, writers in streams.items()
+        for before, after in itertools.pairwise(writers)
         if before.version != after.version
     ]
 
@@ -82,16 +61,18 @@
 
 def find_streams(record: Record) -> Streams:
     """Return the streams by which the promise for streams taken up is judged."""
-    writers = find_writers(record)
+    versions = {
+        outcome.call_id: outcome.writers[0].version
+        for outcome in record.outcomes
+        if outcome.writers
+    }
     new, taken_up = [], []
     for outcome in record.outcomes:
         if outcome.kind != "chat" or not _is_in_touch(outcome, record):
             continue
         if not outcome.resumes:
             new.append(outcome)
-            continue
-        first_runs = writers.get(outcome.resumes)
-        if first_runs and _is_served(first_runs[0].version, outcome, record):
+        elif _is_served(versions[outcome.resumes], outcome, record):
             taken_up.append(outcome)
     return Streams(new, taken_up)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,15 @@
 
 from soak.checks import find_problems
 from soak.plan import Targets, make_plan
-from soak.record import LimitedSpan, Outcome, Record, ReplicaRun, ServingSpan, Span
+from soak.record import (
+    LimitedSpan,
+    Outcome,
+    Record,
+    ReplicaRun,
+    ServingSpan,
+    Span,
+    Writer,
+)
 from soak.run import VERSIONS, RunSize, SoakRun
 
 TARGETS = Targets(["h-0", "h-1"], ["r-0", "r-1"], ["z-0"])
@@ -151,39 +159,32 @@
 
     def test_stream_of_two_versions(self):
         """Guards against streams with events of two versions that are not reported."""
-        broken = outcome(1, "chat", event_ids=(1, 2), is_complete=False)
-        rest = outcome(2, "chat", event_ids=(3,), resumes="c-1", last_event_id=2)
-        first = ReplicaRun("c-1", "r-0", 30.0, version="v1")
-
-        def failed(*outcomes, **fields):
-            after = ReplicaRun(outcomes[-1].call_id, "r-1", 30.1)._replace(**fields)
-            return self.failed_checks(*outcomes, runs=[first, after])
-
-        taken_up = (broken, rest)
-        self.assertEqual(
-            failed(*taken_up, last_event_id=2, version="v2"), {"check_versions"}
+        first, second = Writer("r-0", "v1"), Writer("r-1", "v2")
+        broken = outcome(
+            1, "chat", event_ids=(1, 2), is_complete=False, writers=(first, first)
         )
-        self.assertEqual(failed(*taken_up, last_event_id=2, version="v1"), set())
+        rest = outcome(2, "chat", event_ids=(3,), resumes="c-1", last_event_id=2)
         answer = outcome(1, "chat", event_ids=ALL_EVENTS)
-        self.assertEqual(
-            failed(answer, last_event_id=1, version="v2"), {"check_versions"}
-        )
-        # No event of the first run reached the caller.
-        self.assertEqual(failed(answer, last_event_id=0, version="v2"), set())
+        for items, expected in (
+            ((broken, rest._replace(writers=(second,))), {"check_versions"}),
+            ((broken, rest._replace(writers=(first,))), set()),
+            ([answer._replace(writers=(first, second, second))], {"check_versions"}),
+            ([answer._replace(writers=(second, second, second))], set()),
+        ):
+            self.assertEqual(self.failed_checks(*items), expected)
 
     def test_streams_not_taken_up(self):
         """Guards against hosts that refuse all streams that are taken up."""
         times = {"sent_at": 20.0, "ended_at": 20.2}
+        first = {"event_ids": (1,), "writers": (Writer("r-0", "v1"),)}
         chats = [
-            outcome(n, "chat", event_ids=(1,), is_complete=False, **times)
-            for n in range(12)
+            outcome(n, "chat", is_complete=False, **first, **times) for n in range(12)
         ]
         refused = [
             outcome(f"{n}-1", "chat", 503, resumes=f"c-{n}", last_event_id=1, **times)
             for n in range(12)
         ]
         outcomes = [*chats, *refused]
-        runs = [ReplicaRun(chat.call_id, "r-0", 20.0) for chat in chats]
         serving = [ServingSpan(f"r-{n}", "v1", 10.0, 40.0) for n in range(2)]
         paused = Span("h-0", 16.0, 16.1)
         one_version = [serving[0], serving[1]._replace(version="v2")]
@@ -193,7 +194,7 @@
             (outcomes, {"serving": one_version}, set()),
             (outcomes, {"serving": serving, "paused": [paused]}, set()),
         ):
-            self.assertEqual(self.failed_checks(*items, runs=runs, **fields), expected)
+            self.assertEqual(self.failed_checks(*items, **fields), expected)
 
     def test_dead_host_in_directory(self):
         """Guards against a directory that lists a stopped host."""
