Add review case 9: bytes without end keep a stream past its time

A time limit ends a task only where it has to wait, and a read of bytes that have arrived never waits.

--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -17,6 +17,7 @@
 from collections import deque
 
 OUTPUT_LOCK = threading.Lock()
+JUNK_BYTES = 1 << 20
 
 
 def report(**fields) -> None:
@@ -206,11 +207,27 @@
             conn.sendall(self.head(200, [*lines, "Connection: close"]))
             return self.send_pieces(conn, request_id, pieces)
         conn.sendall(self.head(200, [*lines, "Transfer-Encoding: chunked"]))
+        if self.cfg.junk:
+            return self.send_junk(conn, request_id)
         chunks = [f"{len(p):x}\r\n".encode() + p + b"\r\n" for p in pieces]
         self.send_pieces(conn, request_id, chunks)
         conn.sendall(b"0\r\n\r\n")
         return True
 
+    def send_junk(self, conn, request_id) -> bool:
+        """Send bytes that are no answer until the gateway closes the connection."""
+        junk = os.urandom(JUNK_BYTES)
+        chunk = f"{len(junk):x}\r\n".encode() + junk + b"\r\n"
+        started_at = time.monotonic()
+        try:
+            while True:
+                conn.sendall(chunk)
+        finally:
+            seconds = round(time.monotonic() - started_at, 3)
+            report(
+                event="closed", replica=self.cfg.name, id=request_id, seconds=seconds
+            )
+
     def send_pieces(self, conn, request_id, pieces) -> bool:
         """Send pieces with a pause before each; stop when the gateway has left."""
         for number, piece in enumerate(pieces, 1):
@@ -237,6 +254,7 @@
     parser.add_argument("--pieces", type=int, default=20)
     parser.add_argument("--gap", type=float, default=0.1)
     parser.add_argument("--unframed", type=int, default=0)
+    parser.add_argument("--junk", type=int, default=0)
     parser.add_argument("--heartbeat", type=float, default=1.2)
     parser.add_argument("--first-beat", type=float, default=0.0)
     parser.add_argument("--cold", type=float, default=0.0)
