Add review case 10: late crashes on a deadly part are no evidence

It takes the place of the case of cold replicas. A replica that crashes 0.5 s after its first event counts as having survived the request, which clears the deadly part.

--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -7,17 +7,17 @@
 import json
 import os
 import select
-import signal
 import socket
 import sys
 import threading
 import time
 import urllib.error
 import urllib.request
-from collections import deque
 
 OUTPUT_LOCK = threading.Lock()
 JUNK_BYTES = 1 << 20
+# The part of a prompt that crashes a replica which begins to answer it.
+DEADLY_PART = "dead0001"
 
 
 def report(**fields) -> None:
@@ -35,20 +35,6 @@
         self.running = 0
         self.lock = threading.Lock()
         self.sequence = 0
-        self.cold_until = time.monotonic() + cfg.cold
-        self.arrivals: deque[float] = deque()
-        self.beat_now = threading.Event()
-        signal.signal(signal.SIGUSR1, self.turn_cold)
-
-    def turn_cold(self, *args) -> None:
-        """Become cold again, at a signal."""
-        self.cold_until = time.monotonic() + self.cfg.cold_again
-        self.beat_now.set()
-        report(event="cold again", replica=self.cfg.name)
-
-    def cold_ms(self) -> int:
-        """Return for how many milliseconds the replica stays cold."""
-        return max(int((self.cold_until - time.monotonic()) * 1000), 0)
 
     def beat(self) -> None:
         """Write the entry of the store about every heartbeat."""
@@ -62,7 +48,7 @@
                 "version": self.cfg.version,
                 "slots": self.cfg.slots,
                 "state": "ready",
-                "coldRemainingMs": self.cold_ms(),
+                "coldRemainingMs": 0,
                 "seqNo": self.sequence,
                 "born": self.cfg.born,
             }
@@ -78,8 +64,7 @@
                     report(event="listed", replica=self.cfg.name, born=self.cfg.born)
             except (OSError, urllib.error.URLError):
                 pass  # The store does not answer; the next beat tries again.
-            self.beat_now.wait(self.cfg.heartbeat)
-            self.beat_now.clear()
+            time.sleep(self.cfg.heartbeat)
 
     def serve(self) -> None:
         """Accept connections; never returns."""
@@ -119,14 +104,11 @@
         path = words[1].decode()
         request_id = headers.get("x-sassafraskeel-request-id", "")
         if path == "/healthz":
-            cold = self.cold_ms()
-            lines = [f"X-Sassafraskeel-Instance-Id: {self.cfg.name}"]
-            lines += [f"X-Sassafraskeel-Cold-Ms: {cold}"] if cold else []
-            return self.answer(conn, 200, lines, b"")
+            name = f"X-Sassafraskeel-Instance-Id: {self.cfg.name}"
+            return self.answer(conn, 200, [name], b"")
         echo = f"X-Sassafraskeel-Request-Id: {request_id}"
         if headers.get("x-sassafraskeel-expect-instance") not in (None, self.cfg.name):
             return self.answer(conn, 421, [echo], b"")
-        self.count_cold(request_id)
         report(
             event="run",
             replica=self.cfg.name,
@@ -146,24 +128,6 @@
             with self.lock:
                 self.running -= 1
 
-    def count_cold(self, request_id: str) -> None:
-        """Count a request that arrives at a cold replica; crash if there are too many.
-
-        The replica tolerates `cold_crash` requests in a second.
-        """
-        now = time.monotonic()
-        if not self.cold_ms():
-            return
-        self.arrivals.append(now)
-        while now - self.arrivals[0] >= 1.0:
-            self.arrivals.popleft()
-        report(
-            event="cold", replica=self.cfg.name, id=request_id, count=len(self.arrivals)
-        )
-        if self.cfg.cold_crash and len(self.arrivals) > self.cfg.cold_crash:
-            report(event="crash", replica=self.cfg.name)
-            os._exit(1)
-
     def head(self, status: int, lines: list[str]) -> bytes:
         """Return the head of an answer."""
         load = f"{self.running},0,{self.cfg.slots}"
@@ -196,6 +160,8 @@
 
     def stream(self, conn, request_id, echo, headers) -> bool:
         """Send a stream of events, after the last one that the caller has."""
+        parts = headers.get("x-sassafraskeel-prompt-prefix", "").split(",")[:-1]
+        deadly = DEADLY_PART in [part.partition(":")[0].strip() for part in parts]
         begin = int(headers.get("last-event-id") or 0) + 1
         writer = f"{self.cfg.service} {self.cfg.version} {self.cfg.name}"
         pieces = [
@@ -210,10 +176,20 @@
         if self.cfg.junk:
             return self.send_junk(conn, request_id)
         chunks = [f"{len(p):x}\r\n".encode() + p + b"\r\n" for p in pieces]
+        if deadly:
+            self.crash(conn, request_id, chunks)
         self.send_pieces(conn, request_id, chunks)
         conn.sendall(b"0\r\n\r\n")
         return True
 
+    def crash(self, conn, request_id, chunks) -> None:
+        """Begin a stream, and crash some seconds after its first event."""
+        report(event="deadly", replica=self.cfg.name, id=request_id)
+        count = 1 + round(self.cfg.deadly_after / self.cfg.gap)
+        self.send_pieces(conn, request_id, chunks[:count])
+        report(event="crash", replica=self.cfg.name, id=request_id)
+        os._exit(1)
+
     def send_junk(self, conn, request_id) -> bool:
         """Send bytes that are no answer until the gateway closes the connection."""
         junk = os.urandom(JUNK_BYTES)
@@ -254,12 +230,10 @@
     parser.add_argument("--pieces", type=int, default=20)
     parser.add_argument("--gap", type=float, default=0.1)
     parser.add_argument("--unframed", type=int, default=0)
+    parser.add_argument("--deadly-after", type=float, default=0.0)
     parser.add_argument("--junk", type=int, default=0)
     parser.add_argument("--heartbeat", type=float, default=1.2)
     parser.add_argument("--first-beat", type=float, default=0.0)
-    parser.add_argument("--cold", type=float, default=0.0)
-    parser.add_argument("--cold-again", type=float, default=3.0)
-    parser.add_argument("--cold-crash", type=int, default=0)
     return parser.parse_args()
 
 
