--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -273,12 +273,15 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self._readers: list[threading.Thread] = []
         self._lock = threading.Lock()
+        self._closed = False
         self._born = int(time.time() * 1000)
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exc_info):
+        with self._lock:
+            self._closed = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -341,14 +344,15 @@
         `options` are those of replica_2.py.
         """
         with self._lock:
-            self._born = max(self._born + 1, int(time.time() * 1000))
-            born = self._born
-        arguments = {"name": name, "store": self.store.address, "born": born} | options
-        command = [sys.executable, str(ROOT / "review" / "replica_2.py")]
-        for key, value in arguments.items():
-            command.append(f"--{key.replace('_', '-')}={value}")
-        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
-        self.processes[name] = process
+            if self._closed:
+                raise RuntimeError("the deployment has ended")
+            born = self._born = max(self._born + 1, int(time.time() * 1000))
+            arguments = {"name": name, "store": self.store.address, "born": born}
+            command = [sys.executable, str(ROOT / "review" / "replica_2.py")]
+            for key, value in (arguments | options).items():
+                command.append(f"--{key.replace('_', '-')}={value}")
+            process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+            self.processes[name] = process
         reader = threading.Thread(target=self._read, args=(process,), daemon=True)
         reader.start()
         self._readers.append(reader)
