--- a/review/8/case.py
+++ b/review/8/case.py
@@ -137,4 +137,4 @@
 
 
 if __name__ == "__main__":
-    main(play, Path(__file__).resolve().parent)
+    main(play, Path(__file__).resolve().parent / "record.txt")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -111,4 +111,4 @@
 
 
 if __name__ == "__main__":
-    main(play, Path(__file__).resolve().parent)
+    main(play, Path(__file__).resolve().parent / "record.txt")
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -50,25 +50,27 @@
 
 
 class Record:
-    """What was sent, answered and run, with the seconds since the start."""
+    """A file of what was sent, answered and run, with the seconds since the start.
 
-    def __init__(self, folder: Path):
-        self._path = folder / "record.txt"
+    Each line is written at once, so that a script that is ended leaves its lines.
+    """
+
+    def __init__(self, path: Path):
+        self._file = path.open("w", encoding="utf-8", buffering=1)
         self._lock = threading.Lock()
-        self._lines: list[str] = []
         self.started_at = time.monotonic()
 
     def add(self, text: str) -> None:
-        """Add a line."""
+        """Write a line."""
         seconds = time.monotonic() - self.started_at
         with self._lock:
-            self._lines.append(f"{seconds:8.3f}  {text}")
+            if not self._file.closed:
+                self._file.write(f"{seconds:8.3f}  {text}\n")
 
-    def write(self) -> None:
-        """Write all lines to the file."""
+    def close(self) -> None:
+        """Close the file; later lines are dropped."""
         with self._lock:
-            lines = "\n".join(self._lines)
-        self._path.write_text(lines + "\n", encoding="utf-8")
+            self._file.close()
 
 
 class Store:
@@ -537,11 +539,14 @@
     }
 
 
-def main(play, folder: Path) -> None:
-    """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 on an error."""
+def main(play, path: Path) -> None:
+    """Play a case and write its record to a file.
+
+    Exit with 1 if the rule was broken, 0 if it held, 2 on an error.
+    """
     # A script that is stopped ends the processes that it started.
     signal.signal(signal.SIGTERM, lambda *args: sys.exit(2))
-    record = Record(folder)
+    record = Record(path)
     status = 2
     try:
         problems = play(record)
@@ -555,5 +560,5 @@
         record.add(f"the case could not run: {type(exc).__name__}: {exc}")
         print(f"the case could not run: {type(exc).__name__}: {exc}")
     finally:
-        record.write()
+        record.close()
     sys.exit(status)
