Use ports below those of outgoing connections in the review's scripts

One script of seven that ran beside each other could not start a host, and ended with 2. A host that has ended is reported with the end of its log.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -7,6 +7,7 @@
 import http.server
 import json
 import os
+import random
 import re
 import select
 import signal
@@ -37,16 +38,40 @@
 }
 
 
+def _first_outgoing_port() -> int:
+    try:
+        path = Path("/proc/sys/net/ipv4/ip_local_port_range")
+        return int(path.read_text(encoding="ascii").split()[0])
+    except (OSError, ValueError):
+        return 32768
+
+
+FIRST_PORT = 10_000
+LAST_PORT = max(_first_outgoing_port(), FIRST_PORT + 1_000)
+USED_PORTS: set[int] = set()
+
+
 def trouble() -> bool:
     """Return whether the disruption of a case is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free at present."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a port of the loopback address that is free at present.
+
+    It is below the ports that the system gives to outgoing connections, since one of
+    those may be taken by a connection before a program listens on it.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            return port
 
 
 class Record:
@@ -336,6 +361,9 @@
         for name, listen in self.hosts.items():
             url = f"http://{listen['readinessAddress']}/api/ready"
             while not _is_ok(url):
+                if self.processes[name].poll() is not None:
+                    log = (self.folder / f"{name}.log").read_text(encoding="utf-8")
+                    raise RuntimeError(f"{name} has ended: {log.strip()[-300:]}")
                 if time.monotonic() > expires:
                     raise TimeoutError(f"{name} is not ready")
                 time.sleep(0.1)
