Log the service of a stream that is taken up

Event 329 had neither the service that the weights choose nor the one at which the stream began, so that an unknown origin could not be told from one of another service.

--- a/sassafraskeel/calls/stream_versions.py
+++ b/sassafraskeel/calls/stream_versions.py
@@ -70,6 +70,8 @@
             call=call.call_id,
             resumes=call.resumes,
             after=call.resume_after,
+            service=call.service,
+            began_at=lookup.origin.service if lookup.origin else "",
             version=printable_version(version),
             source=source,
         )
