Keep streams that are taken up at the service that began them

Cause: the service was chosen by the weights in force before the origin of the stream was looked up, and an origin of another service was not used.

Now the origin decides, as long as the manifest in force lets the route use its service. Without an origin, the service counts as known only if it follows from the id in Resumes and the route chose alike all the time that streams may last; before, such streams ran at the service that the new weights chose. A service with a weight of 0 gets no requests. Retries are counted for the service of the stream.

--- a/bench/route_costs.py
+++ b/bench/route_costs.py
@@ -64,7 +64,7 @@
 def build_state(hosts: int, replicas: int, clock) -> RoutingState:
     """Return the state of a host in a fleet, with the replicas in its region."""
     fleet = Fleet(REGIONS)
-    fleet.accept(Manifest(1, (), {SPEC.name: SPEC}, CallerLimits(1, 1, 1, 1)))
+    fleet.accept(Manifest(1, (), {SPEC.name: SPEC}, CallerLimits(1, 1, 1, 1)), 0.0)
     for number in range(replicas):
         zone = "ab"[number % 2]
         fleet.update(Replica(f"r-{number}", 1, SPEC.name, zone, ADDRESS, 12, False))
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -167,9 +167,9 @@
     async def run(self, call: Call, body: bytes) -> Answer:
         """Return the answer to a call that passed `check`; raise Refusal."""
         self._refuse_if_cut_off(call)  # The body may have taken long to arrive.
+        call = await self._versions.bind_call(call)
         if not call.hops:
             self._budget.record_call(call.service, self._clock.monotonic())
-        call = await self._versions.bind_call(call)
         call = call._replace(fingerprint=self._hasher.fingerprint(call, body))
         history = AttemptHistory()
         try:
--- a/sassafraskeel/calls/stream_versions.py
+++ b/sassafraskeel/calls/stream_versions.py
@@ -13,7 +13,11 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import Call, CallKind
 from sassafraskeel.decisions.fleet import Replica, printable_version
-from sassafraskeel.decisions.stream_origins import OriginLookup, StreamOrigin
+from sassafraskeel.decisions.stream_origins import (
+    CONFLICTING,
+    OriginLookup,
+    StreamOrigin,
+)
 from sassafraskeel.decisions.version_history import MAX_AGE_SECONDS, stream_lifetime
 
 # Origins are kept for this long after the deadline of the call that recorded them,
@@ -54,47 +58,63 @@
         self._log = log
 
     async def bind_call(self, call: Call) -> Call:
-        """Return a call that takes up a stream bound to the version of the stream.
+        """Return a call that takes up a stream bound to its service and version.
 
-        Other calls are returned as they are. Raises Refusal (not run) if the version
-        is not known.
+        The weights of a route may have changed since the stream began; it goes on at
+        its service as long as the route may use that. Other calls are returned as they
+        are. Raises Refusal (not run) if service or version are not known, or the route
+        no longer uses the service.
         """
         is_taken_up = bool(call.resumes or call.resume_after)
         if call.kind is not CallKind.MODEL or not is_taken_up or call.hops:
             return call
         # A call that names no stream shows at least whether other hosts answer.
         lookup = await self._origins.find(call.resumes or call.call_id)
-        version, source = self._known_version(call, lookup)
+        origin, source = self._known_origin(call, lookup)
         self._log.emit(
             Event.STREAM_TAKEN_UP,
             call=call.call_id,
             resumes=call.resumes,
             after=call.resume_after,
             service=call.service,
-            began_at=lookup.origin.service if lookup.origin else "",
-            version=printable_version(version),
+            began_at=origin.service,
+            version=printable_version(origin.software_version),
             source=source,
         )
-        if not version:
+        if origin == CONFLICTING:
             raise not_run_refusal(
                 Reason.VERSION_UNKNOWN, "no host knows at which version it began"
             )
-        return call._replace(software_version=version)
+        if origin.service not in _usable_services(call):
+            raise not_run_refusal(
+                Reason.VERSION_GONE,
+                f"it began at {origin.service}, which its route does not use",
+            )
+        return call._replace(
+            service=origin.service, software_version=origin.software_version
+        )
 
-    def _known_version(self, call: Call, lookup: OriginLookup) -> tuple[str, str]:
-        """Return the version at which a stream began, and from what it is known.
+    def _known_origin(
+        self, call: Call, lookup: OriginLookup
+    ) -> tuple[StreamOrigin, str]:
+        """Return where a stream began, and from what it is known.
 
-        Both are empty if it is not known.
+        The origin is CONFLICTING if it is not known.
         """
         if lookup.origin is not None:
-            service, version = lookup.origin
-            return (version, "origin") if service == call.service else ("", "")
-        max_age = MAX_AGE_SECONDS if lookup.replies else FRESH_SECONDS
+            is_known = lookup.origin != CONFLICTING
+            return lookup.origin, "origin" if is_known else ""
         table, now = self._state.fleet.table, self._clock.monotonic()
+        lifetime = stream_lifetime(table)
+        if not _is_service_known(call, now - lifetime):
+            return CONFLICTING, ""
+        max_age = MAX_AGE_SECONDS if lookup.replies else FRESH_SECONDS
         version = self._state.versions.single_version(
-            call.service, now, stream_lifetime(table), max_age
+            call.service, now, lifetime, max_age
         )
-        return version, "history" if version else ""
+        if not version:
+            return CONFLICTING, ""
+        return StreamOrigin(call.service, version), "history"
 
     def bind_rest(self, call: Call, history: AttemptHistory) -> Call:
         """Return a call for the rest of a stream, bound to the version of its events.
@@ -140,3 +160,20 @@
             and known.started_at_ms != replica.started_at_ms
             and known.software_version != replica.software_version
         )
+
+
+def _usable_services(call: Call) -> tuple[str, ...]:
+    return call.route_services.names if call.route_services else (call.service,)
+
+
+def _is_service_known(call: Call, since: float) -> bool:
+    """Return whether a stream of a route began at the service of `call`.
+
+    `since` is when it began at the earliest. On a route with several services, the
+    service follows from the id of the attempt that began the stream.
+    """
+    services = call.route_services
+    if services is None:
+        return True
+    is_chosen_alike = bool(call.resumes) or len(services.names) == 1
+    return is_chosen_alike and services.unchanged_since <= since
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -69,6 +69,17 @@
     prompt: Prompt | None = None
 
 
+class RouteServices(NamedTuple):
+    """The services that a route may use.
+
+    Calls with the same id have gone to the same one of them since `unchanged_since`, in
+    monotonic seconds.
+    """
+
+    names: tuple[str, ...]
+    unchanged_since: float = -math.inf
+
+
 class Call(NamedTuple):
     """The header of a call: everything that routing and admission need.
 
@@ -86,7 +97,8 @@
 
     A call that takes up a stream names in `resumes` the attempt of its caller that
     brought the first event. It may run only at replicas with its `software_version`,
-    or at any if that is empty.
+    or at any if that is empty. `route_services` are known at the host of the caller
+    only.
     """
 
     call_id: str
@@ -109,6 +121,7 @@
     run_seconds: float = math.inf
     resumes: str = ""
     software_version: str = ""
+    route_services: RouteServices | None = None
 
 
 def is_cancelled_with_caller(call: Call) -> bool:
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -102,11 +102,11 @@
         spec = self.service(replica.service) if replica else None
         return spec.engine.kv_cache_tokens if spec and spec.engine else 0
 
-    def accept(self, manifest: Manifest) -> bool:
+    def accept(self, manifest: Manifest, now: float) -> bool:
         """Install a manifest; return False if it is not newer than the one in force."""
         if manifest.version <= self.version:
             return False
-        self.table = RouteTable(manifest)
+        self.table = RouteTable(manifest, self.table, now)
         self.changes += 1
         return True
 
--- a/sassafraskeel/decisions/routes.py
+++ b/sassafraskeel/decisions/routes.py
@@ -1,10 +1,11 @@
 """The manifest as typed data, and the choice of route and service for a request."""
 
+import math
 import zlib
 from collections import Counter
 from typing import NamedTuple
 
-from sassafraskeel.core.types import CallKind
+from sassafraskeel.core.types import CallKind, RouteServices
 
 SPLIT_BUCKETS = 10_000
 # Callers abandon a stream without an event for the longest of these times.
@@ -94,13 +95,26 @@
 
 
 class RouteTable:
-    """The routes of a manifest by host name, the longest prefix first."""
+    """The routes of a manifest by host name, the longest prefix first.
 
-    def __init__(self, manifest: Manifest):
+    It was installed at `now`, in monotonic seconds, in place of the table `former`.
+    """
+
+    def __init__(
+        self,
+        manifest: Manifest,
+        former: "RouteTable | None" = None,
+        now: float = -math.inf,
+    ):
         self.manifest = manifest
         self._routes: dict[str, list[Route]] = {}
         for route in sorted(manifest.routes, key=lambda entry: -len(entry.prefix)):
             self._routes.setdefault(route.host, []).append(route)
+        # When requests of a route may last have gone to other services, by host name
+        # and prefix.
+        self._changed_at: dict[tuple[str, str], float] = {}
+        if former is not None:
+            self._find_changes(former, now)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a host name with the longest matching prefix, or None."""
@@ -109,6 +123,29 @@
                 return route
         return None
 
+    def services(self, route: Route) -> RouteServices:
+        """Return the services that a route of this table may use."""
+        changed_at = self._changed_at.get((route.host, route.prefix), -math.inf)
+        names = tuple(share.service for share in weighted_shares(route))
+        return RouteServices(names, changed_at)
+
+    def _find_changes(self, former: "RouteTable", now: float) -> None:
+        """Record which routes may choose other services than `former` did."""
+        changed_at = self._changed_at
+        known = {(route.host, route.prefix): route for route in former.manifest.routes}
+        for route in self.manifest.routes:
+            key = route.host, route.prefix
+            old = known.pop(key, None)
+            if old is None or old.shares != route.shares:
+                changed_at[key] = now
+            elif key in former._changed_at:
+                changed_at[key] = former._changed_at[key]
+        for host, prefix in known:
+            # The requests of a route that is gone may match a shorter prefix.
+            heir = self.match(host, prefix)
+            if heir is not None:
+                changed_at[heir.host, heir.prefix] = now
+
     def home_regions(self, host: str) -> frozenset[str]:
         """Return the regions that are home to the most routes of a host name."""
         counts = Counter(
@@ -120,14 +157,18 @@
         return frozenset(region for region in counts if counts[region] == most)
 
 
+def weighted_shares(route: Route) -> tuple[TrafficShare, ...]:
+    """Return the shares of a route that get traffic, all if none has a weight."""
+    return tuple(share for share in route.shares if share.weight > 0) or route.shares
+
+
 def choose_service(route: Route, request_id: str) -> str:
     """Return the service of a request; the same request id gets the same service."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    total = sum(share.weight for share in route.shares)
+    shares = weighted_shares(route)
+    total = sum(share.weight for share in shares)
     bucket = zlib.crc32(request_id.encode()) % SPLIT_BUCKETS / SPLIT_BUCKETS * total
-    for share in route.shares:
+    for share in shares:
         bucket -= share.weight
         if bucket < 0:
             return share.service
-    return route.shares[-1].service
+    return shares[-1].service
--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -101,7 +101,8 @@
         return Call(
             call_id=call_id,
             workspace="",
-            # A stream that is taken up goes on at the service at which it began.
+            # Without a known origin, a stream that is taken up goes on at the service
+            # that the attempt which began it was sent to.
             service=choose_service(route, resumes or call_id),
             kind=route.kind,
             method=request.method.decode(),
@@ -114,6 +115,7 @@
             route_policy=_build_route_policy(route, table.manifest.version, headers),
             resume_after=find_header(headers, wire.LAST_EVENT_ID),
             resumes=resumes,
+            route_services=table.services(route),
         )
 
     def refusal_answer(
--- a/sassafraskeel/store/follower.py
+++ b/sassafraskeel/store/follower.py
@@ -237,7 +237,7 @@
         return self._install(manifest, document, self._revision, source="peer")
 
     def _install(self, manifest, document, revision, source="store") -> bool:
-        if not self._fleet.accept(manifest):
+        if not self._fleet.accept(manifest, self._clock.monotonic()):
             return False
         self.manifest_document = document
         self._log.emit(
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -180,7 +180,9 @@
             )
             for priority in range(2)
         )
-        fleet.accept(Manifest(1, routes, {SERVICE: spec}, CallerLimits(1, 1, 1, 1)))
+        fleet.accept(
+            Manifest(1, routes, {SERVICE: spec}, CallerLimits(1, 1, 1, 1)), 0.0
+        )
         for name in self.engines:
             slots = self._model.slots
             fleet.update(Replica(name, 1, SERVICE, "a", ADDRESS, slots, False))
--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -154,9 +154,9 @@
         )
         return RouteHost(cfg, env)
 
-    async def register_replica(self, replica, **fields):
+    async def register_replica(self, replica, service="desk", **fields):
         """Write the entry of a replica into the store."""
-        value = json.dumps(replica.store_entry("desk", **fields)).encode()
+        value = json.dumps(replica.store_entry(service, **fields)).encode()
         await self.store.write(f"servers/{replica.name}", value)
 
     async def close(self):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,7 +29,7 @@
 class FleetTest(TestCase):
     def setUp(self):
         self.fleet = Fleet({"a": "north"})
-        self.fleet.accept(manifest(1, cold_rate=2.0))
+        self.fleet.accept(manifest(1, cold_rate=2.0), 0.0)
         self.fleet.update(replica())
 
     def names(self, now):
@@ -40,7 +40,7 @@
         """Guards against a manifest that is replaced by an older version."""
         fleet = Fleet({})
         for position, version in enumerate(versions):
-            accepted = fleet.accept(manifest(version))
+            accepted = fleet.accept(manifest(version), 0.0)
             self.assertEqual(accepted, version > max([0, *versions[:position]]))
             self.assertEqual(fleet.version, max(versions[: position + 1]))
 
