Log how long answers wait for their reader

Event 207 showed that the call was late, but not whether the host waited for its replica or for its caller.

It has send_ms now.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -292,9 +292,13 @@
         record.outcome = Outcome.UNKNOWN
         pending = [self._response_head(record, answer.head)]
         while data := await self._read_answer(answer, record, started=not pending):
+            now = self._clock.monotonic()
             if pending:
-                record.first_data_at = self._clock.monotonic()
-            await self._send_events(conn, *pending, h11.Data(data=data))
+                record.first_data_at = now
+            try:
+                await self._send_events(conn, *pending, h11.Data(data=data))
+            finally:
+                record.send_seconds += self._clock.monotonic() - now
             pending = []
         await self._send_events(conn, *pending, h11.EndOfMessage())
         record.outcome = Outcome.ANSWERED
--- a/sassafraskeel/calls/record.py
+++ b/sassafraskeel/calls/record.py
@@ -35,7 +35,11 @@
 
 
 class CallRecord:
-    """State and result of one call at this host."""
+    """State and result of one call at this host.
+
+    `send_seconds` is the time for which its answer has waited for the caller, or for
+    the host that forwarded the call, to take data.
+    """
 
     def __init__(self, call_id: str, source: str, started: float):
         self.call_id = call_id
@@ -47,6 +51,7 @@
         self.reason = ""
         self.served_by = ""
         self.first_data_at: float | None = None
+        self.send_seconds = 0.0
 
     def set_refusal(self, refusal: Refusal) -> None:
         """Set outcome and reason from a refusal."""
@@ -142,6 +147,7 @@
             outcome=record.outcome.value,
             reason=record.reason,
             first_ms=record.first_ms(),
+            send_ms=round(record.send_seconds * 1000),
             ms=round(seconds * 1000, 1),
             left_ms=round((call.expires - self._clock.monotonic()) * 1000),
         )
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -224,8 +224,12 @@
             head = RouteAnswerHead(*answer.head, answer.software_version)
         await channel.send(head)
         while data := await self._read_answer(channel, answer, record):
-            for start in range(0, len(data), MAX_PART_BYTES):
-                await channel.send(AnswerData(data[start : start + MAX_PART_BYTES]))
+            started_at = self._clock.monotonic()
+            try:
+                for start in range(0, len(data), MAX_PART_BYTES):
+                    await channel.send(AnswerData(data[start : start + MAX_PART_BYTES]))
+            finally:
+                record.send_seconds += self._clock.monotonic() - started_at
         if data is not None:
             await channel.send(AnswerEnd())
             record.outcome = Outcome.ANSWERED
