End answers with the time of their call

Cause: curio ends a task at a time limit only where the task has to wait. Data of these replicas is always ready, so that reads with a time limit that is over return it. Writes had limits of their own, 30 s for each piece to a caller and none to a host, so that a reader that takes nothing kept the slot of a replica as well.

Reads of answers now look at the time first, from replicas, upstreams and other hosts, and both servers relay an answer within the time of its call and 0.2 s. The sheet interface had no limit for streams that have begun; X-Deadline-Ms bounds them now, or max_deadline without it. Emulators limit their writes.

--- a/sassafraskeel/callers/requests.py
+++ b/sassafraskeel/callers/requests.py
@@ -58,6 +58,7 @@
         )
     workspace, service = unquote(match[1]), unquote(match[2])
     headers = strip_hop_by_hop(request.headers)
+    timeout, longest = _parse_timeouts(headers, cfg)
     return Call(
         call_id=call_id,
         workspace=workspace,
@@ -66,9 +67,10 @@
         method=method,
         path=match[3],
         headers=tuple(pair for pair in headers if pair[0] not in STRIPPED_HEADERS),
-        expires=now + _parse_timeout(headers, cfg),
+        expires=now + timeout,
         priority=_parse_priority(headers),
         order_id=find_header(headers, b"idempotency-key"),
+        answer_expires=now + longest,
     )
 
 
@@ -88,15 +90,21 @@
     )
 
 
-def _parse_timeout(headers, cfg: CallerSection) -> float:
+def _parse_timeouts(headers, cfg: CallerSection) -> tuple[float, float]:
+    """Return within how many seconds an answer must begin, and end.
+
+    Without X-Deadline-Ms, a long stream is not cut by the default for its begin.
+    """
+    longest = cfg.max_deadline.total_seconds()
     text = find_header(headers, b"x-deadline-ms")
     if not text:
-        return cfg.default_deadline.total_seconds()
+        return cfg.default_deadline.total_seconds(), longest
     if not text.isdigit() or len(text) > 9:
         raise not_run_refusal(
             Reason.BAD_REQUEST, "X-Deadline-Ms is not a number of up to 9 digits"
         )
-    return min(int(text) / 1000, cfg.max_deadline.total_seconds())
+    timeout = min(int(text) / 1000, longest)
+    return timeout, timeout
 
 
 def _parse_priority(headers) -> int:
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -18,6 +18,7 @@
     Reason,
     Refusal,
     SassafraskeelError,
+    TimedOut,
     not_run_refusal,
     unknown_outcome_refusal,
 )
@@ -33,7 +34,11 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.net import Address, Network, Stream
 from sassafraskeel.core.tasks import SupervisedTaskGroup
-from sassafraskeel.core.types import ResponseHead, is_cancelled_with_caller
+from sassafraskeel.core.types import (
+    ANSWER_WRITE_SECONDS,
+    ResponseHead,
+    is_cancelled_with_caller,
+)
 from sassafraskeel.core.watched_stream import PeerLeft, WatchedStream
 
 # The number of connections over the limit that are answered by a refusal; any beyond
@@ -280,10 +285,19 @@
         async with conn.stream.watch(is_cancelled_with_caller(call)):
             answer = await self._components.recorder.run(record, dispatcher, body)
             try:
-                await self._relay_answer(conn, record, answer)
+                await self._relay_in_time(conn, record, answer)
             finally:
                 await answer.close()
 
+    async def _relay_in_time(self, conn, record: CallRecord, answer) -> None:
+        """Relay an answer; raise ConnectionLost if its caller takes it too slowly."""
+        seconds = record.call.ends_by - self._clock.monotonic()
+        try:
+            async with self._clock.timeout(seconds + ANSWER_WRITE_SECONDS):
+                await self._relay_answer(conn, record, answer)
+        except TimedOut as exc:
+            raise ConnectionLost("the caller did not read its answer in time") from exc
+
     async def _relay_answer(self, conn, record: CallRecord, answer) -> None:
         """Relay an answer; a truncated one is sent without the end of the message.
 
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -8,6 +8,8 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# What a call's answer has brought by its end may still be written for this long.
+ANSWER_WRITE_SECONDS = 0.2
 # Before a call goes on at another upstream, the one before may take this long to close
 # its connection. It may be silent for a second or so without being lost, and may run
 # the call for 0.4 s more.
@@ -83,7 +85,8 @@
 class Call(NamedTuple):
     """The header of a call: everything that routing and admission need.
 
-    `expires` and `queue_deadline` are times of the local monotonic clock in seconds. A
+    `expires` and `queue_deadline` are times of the local monotonic clock in seconds. An
+    answer that has begun may last until `answer_expires`, if that is later. A
     call that has no slot at `queue_deadline` is refused, so that its caller can retry.
     `hops` are the names of the hosts that forwarded the call. `fingerprint` identifies
     the request in decisions.suspects or decisions.crash_evidence and is not sent along
@@ -122,6 +125,12 @@
     resumes: str = ""
     software_version: str = ""
     route_services: RouteServices | None = None
+    answer_expires: float = -math.inf
+
+    @property
+    def ends_by(self) -> float:
+        """Return when the answer must have ended, in monotonic seconds."""
+        return max(self.expires, self.answer_expires)
 
 
 def is_cancelled_with_caller(call: Call) -> bool:
--- a/sassafraskeel/emulators/http_server.py
+++ b/sassafraskeel/emulators/http_server.py
@@ -11,12 +11,15 @@
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import ConnectionLost, SassafraskeelError
 from sassafraskeel.core.http import HttpConnection, find_header, response_events
+from sassafraskeel.core.http_requests import send_with_timeout
 from sassafraskeel.core.net import Address, Network
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.types import Headers, ResponseHead
 from sassafraskeel.emulators.faults import Faults, FaultyStream
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# A client that takes no data for this long has no answer.
+SEND_SECONDS = 30.0
 # An answer too many comes where the next answer on its connection is due, if the next
 # request arrives within this time.
 MAX_EXTRA_DELAY_SECONDS = 1.0
@@ -197,17 +200,21 @@
     async def _send_reply(self, http, reply):
         if isinstance(reply.body, bytes):
             head = ResponseHead(reply.status, reply.headers)
-            await http.send(*response_events(head, reply.body))
+            await self._send(http, *response_events(head, reply.body))
             return
-        await http.send(h11.Response(status_code=reply.status, headers=reply.headers))
+        head = h11.Response(status_code=reply.status, headers=reply.headers)
+        await self._send(http, head)
         try:
             async for chunk in reply.body:
                 if self._faults.slow:
                     await self._clock.sleep(self._faults.slow)
-                await http.send(h11.Data(data=chunk))
+                await self._send(http, h11.Data(data=chunk))
         finally:
             await reply.body.aclose()
-        await http.send(h11.EndOfMessage())
+        await self._send(http, h11.EndOfMessage())
+
+    async def _send(self, http, *events) -> None:
+        await send_with_timeout(http, self._clock, SEND_SECONDS, *events)
 
 
 def _encode(reply: Reply) -> bytes:
--- a/sassafraskeel/gateways/forwarding.py
+++ b/sassafraskeel/gateways/forwarding.py
@@ -45,6 +45,8 @@
 MAX_CONNECTION_AGE_SECONDS = 60.0
 MAX_IDLE_CONNECTIONS = 32
 OFFER_TIMEOUT_SECONDS = 3.0
+# An offer of the sheet interface does not tell for how long a stream may last.
+MAX_FORWARDED_ANSWER_SECONDS = 3600.0
 # Far below MAX_MESSAGE_BYTES, so that a part always fits into a message.
 MAX_PART_BYTES = 512 * 1024
 
@@ -71,7 +73,7 @@
         conn: CallConnection,
         pool: "CallConnectionPool",
         clock: Clock,
-        expires: float | None,
+        expires: float,
         software_version: str = "",
     ):
         self.head = head
@@ -101,20 +103,19 @@
         raise AnswerTruncated(f"{self._peer}: {detail}")
 
     async def _receive(self):
-        if self._expires is None:
-            return await self._conn.channel.receive()
         # A host that is suspended does not end its calls at their deadline.
-        async with self._clock.timeout(self._expires - self._clock.monotonic()):
+        remaining = self._expires - self._clock.monotonic()
+        if remaining <= 0:
+            # A read that need not wait does not notice that its time is over.
+            raise TimedOut(0.0)
+        async with self._clock.timeout(remaining):
             return await self._conn.channel.receive()
 
     async def stop(self) -> None:
         """Close the channel once the peer has closed its end, or time is up."""
         if not self._complete:
-            seconds = STOP_SECONDS
-            if self._expires is not None:
-                remaining = self._expires - self._clock.monotonic()
-                seconds = min(seconds, max(remaining, 0.0))
-            await self._conn.channel.stop(self._clock, seconds)
+            remaining = max(self._expires - self._clock.monotonic(), 0.0)
+            await self._conn.channel.stop(self._clock, min(STOP_SECONDS, remaining))
         await self.close()
 
     async def close(self) -> None:
@@ -232,14 +233,10 @@
             conn,
             pool,
             self._clock,
-            self._answer_expires(call),
+            call.ends_by,
             version,
         )
 
-    def _answer_expires(self, call: Call) -> float | None:
-        """Return when an answer must have ended, None if it has no limit."""
-        return None  # Streams of the sheet interface may outlast the deadline.
-
     async def close(self) -> None:
         """Close all idle connections."""
         for pool in self._pools.values():
@@ -326,7 +323,8 @@
 def offer_to_call(offer: Offer, now: float) -> Call:
     """Return the call in an offer; raise ProtocolError if its kind is unknown.
 
-    `now` is a reading of the local monotonic clock in seconds.
+    `now` is a reading of the local monotonic clock in seconds. The host of the caller
+    ends an answer that has begun; its connection then closes.
     """
     if offer.kind not in set(CallKind):
         raise ProtocolError(f"unknown call kind {offer.kind!r}")
@@ -343,6 +341,7 @@
         hops=offer.hops,
         order_id=offer.order_id,
         stream=offer.stream,
+        answer_expires=now + offer.timeout + MAX_FORWARDED_ANSWER_SECONDS,
     )
 
 
--- a/sassafraskeel/gateways/route_forwarding.py
+++ b/sassafraskeel/gateways/route_forwarding.py
@@ -169,9 +169,6 @@
             raise self._unknown_outcome(call, host, "unexpected message")
         return await self._receive_answer(host, call, conn, None)
 
-    def _answer_expires(self, call: Call) -> float | None:
-        return call.expires
-
     async def _acquire_connection(self, host: HostInfo, call: Call) -> CallConnection:
         pool = self._pools.setdefault(host, CallConnectionPool(self._clock))
         conn = pool.acquire()
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -11,10 +11,12 @@
 from sassafraskeel.core.accepting import accept_next
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
+    ConnectionLost,
     Outcome,
     ProtocolError,
     Refusal,
     SassafraskeelError,
+    TimedOut,
 )
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.http import find_header
@@ -22,7 +24,11 @@
 from sassafraskeel.core.net import Address, Network, Stream
 from sassafraskeel.core.settings import GatewaySection
 from sassafraskeel.core.tasks import SupervisedTaskGroup
-from sassafraskeel.core.types import HostInfo, is_cancelled_with_caller
+from sassafraskeel.core.types import (
+    ANSWER_WRITE_SECONDS,
+    HostInfo,
+    is_cancelled_with_caller,
+)
 from sassafraskeel.core.watched_stream import PeerLeft, WatchedStream
 from sassafraskeel.gateways.channel import Channel, accept_channel
 from sassafraskeel.gateways.control_link import AcceptedLink, RequestHandler
@@ -157,7 +163,8 @@
         if peer.purpose == "control":
             await AcceptedLink(channel, peer.host, self._components.requests).serve()
         elif peer.purpose == MANIFEST_PURPOSE:
-            await channel.send(ManifestDocument(self._components.manifest()))
+            async with self._clock.timeout(BODY_TIMEOUT_SECONDS):
+                await channel.send(ManifestDocument(self._components.manifest()))
         else:
             await self._serve_calls(channel, peer.host, stream)
 
@@ -212,10 +219,21 @@
                 record, self._components.dispatcher, body
             )
             try:
-                await self._relay(channel, record, answer)
+                await self._relay_in_time(channel, record, answer)
             finally:
                 await answer.close()
 
+    async def _relay_in_time(self, channel: Channel, record, answer) -> None:
+        """Relay an answer; raise ConnectionLost if its host takes it too slowly."""
+        seconds = record.call.ends_by - self._clock.monotonic()
+        try:
+            async with self._clock.timeout(seconds + ANSWER_WRITE_SECONDS):
+                await self._relay(channel, record, answer)
+        except TimedOut as exc:
+            detail = "the forwarding host did not read the answer in time"
+            self._log.emit(Event.CALL_FAILED, call=record.call_id, detail=detail)
+            raise ConnectionLost(detail) from exc
+
     async def _relay(self, channel: Channel, record: CallRecord, answer) -> None:
         record.outcome = Outcome.UNKNOWN
         record.served_by = find_header(answer.head.headers, SERVED_BY_HEADER)
--- a/sassafraskeel/upstreams/attempt.py
+++ b/sassafraskeel/upstreams/attempt.py
@@ -90,7 +90,12 @@
         """Return the next bytes of the answer, or b"" after its end."""
         if self._complete:
             return b""
-        data = await self._receive(self.conn.receive_data)
+        remaining = self._call.ends_by - self._clock.monotonic()
+        if remaining <= 0:
+            # A read that need not wait does not notice that its time is over.
+            raise TimedOut(0.0)
+        async with self._clock.timeout(remaining):
+            data = await self._receive(self.conn.receive_data)
         self._received += len(data)
         self._complete = not data
         return data
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -169,6 +169,9 @@
             return b""
         now = self._clock.monotonic()
         remaining = self._expires - now
+        if remaining <= 0:
+            # A read that need not wait does not notice that its time is over.
+            raise TimedOut(0.0)
         stall_after = math.inf
         if self.stall_timeout is not None:
             stall_after = self._progress_at + self.stall_timeout - now
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 from typing import NamedTuple
 
 import curio
@@ -23,10 +24,12 @@
     """Pairs of nodes whose messages are lost, and nodes that are frozen.
 
     `most_written` is the number of bytes that one connection from a node to another one
-    has carried since the last call of `break_after`.
+    has carried since the last call of `break_after`. `window` is the number of bytes
+    that a connection holds unread; a write over it waits for the reader.
     """
 
     def __init__(self):
+        self.window = math.inf
         self._break: ConnectionBreak | None = None
         self.break_number = 0
         self.most_written: collections.Counter[tuple[str, str]] = collections.Counter()
@@ -107,6 +110,7 @@
             raise ConnectionLost("reset" if self._reset else "closed")
         data = bytes(self._buffer[:max_bytes])
         del self._buffer[:max_bytes]
+        await self.peer._changed.set()
         return data
 
     async def write(self, data: bytes) -> None:
@@ -128,8 +132,16 @@
             raise ConnectionLost("the connection was broken")
         self.peer._buffer += data
         await self.peer._changed.set()
+        await self._wait_for_window()
         await curio.sleep(0)
 
+    async def _wait_for_window(self) -> None:
+        while len(self.peer._buffer) > self._faults.window:
+            if self._closed or self.peer._closed:
+                raise ConnectionLost("broken pipe")
+            self._changed.clear()
+            await self._changed.wait()
+
     async def end_writing(self) -> None:
         await self._faults.wait(self.node)
         if self._closed or self.peer._closed:
