Log why a process ends by itself

The users saw processes that didn't start or ended by themselves, and had no logs. Both daemons ended with a traceback on standard error and no line of the log; a UserError of the start had a traceback too.

Event 111 names the error and where it was raised, in the one place through which every such end goes, whether a task, the start or the event loop raised it. A UserError ends a host of routes with its message and status 2, as it does for settings.

--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -38,6 +38,7 @@
     SETTINGS_REJECTED = EventSpec(108, Level.ERROR, "changed settings are invalid")
     LIBRARY_MESSAGE = EventSpec(109, Level.INFO, "message from a library")
     LONG_TURN = EventSpec(110, Level.WARNING, "a task kept all others waiting")
+    PROCESS_FAILED = EventSpec(111, Level.ERROR, "process ends after an error")
     CALL_REFUSED = EventSpec(201, Level.INFO, "call refused")
     CALL_FAILED = EventSpec(202, Level.WARNING, "answer ended with an error")
     CALL_FINISHED = EventSpec(203, Level.DEBUG, "call finished")
--- a/sassafraskeel/daemon.py
+++ b/sassafraskeel/daemon.py
@@ -8,6 +8,7 @@
 from sassafraskeel.core.clock import Clock, SystemClock
 from sassafraskeel.core.log import RateLimitedLog, StructuredLog
 from sassafraskeel.core.net import TcpNetwork
+from sassafraskeel.core.process import failure_logged
 from sassafraskeel.core.settings import HostSection, Settings
 from sassafraskeel.core.signals import SignalWaiter
 from sassafraskeel.core.turns import TurnTimer
@@ -64,4 +65,5 @@
 def run(cfg: Settings) -> None:
     """Run the gateway process."""
     host = build_host(cfg)
-    curio.run(serve, host, activations=[host.turns])
+    with failure_logged(host.log):
+        curio.run(serve, host, activations=[host.turns])
--- a/sassafraskeel/platform/daemon.py
+++ b/sassafraskeel/platform/daemon.py
@@ -18,6 +18,7 @@
     StructuredLog,
 )
 from sassafraskeel.core.net import TcpNetwork
+from sassafraskeel.core.process import failure_logged
 from sassafraskeel.core.route_settings import RouteSettings
 from sassafraskeel.core.settings import load_settings
 from sassafraskeel.core.signals import SignalWaiter
@@ -106,4 +107,9 @@
         print(exc, file=sys.stderr)
         sys.exit(2)
     host = build_host(cfg)
-    curio.run(serve, host, path, activations=[host.turns])
+    try:
+        with failure_logged(host.log):
+            curio.run(serve, host, path, activations=[host.turns])
+    except UserError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(2)
