Wait for an address in use at the start

A host whose address was taken ended at once with status 1 and a traceback: by a listener or an outgoing connection of another process, on any of its five listeners (tried on the real program). A host that is restarted meets the same again and again.

Hosts now log the address (event 112) and wait for it for 90 s, longer than a predecessor that drains and a connection in TIME_WAIT, which Linux keeps for 60 s. Callers are served without the metrics, whose port is fixed: their listener is opened as soon as it can be.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -10,7 +10,7 @@
 from sassafraskeel.calls.answers import SERVED_BY_HEADER
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
-from sassafraskeel.core.accepting import accept_next
+from sassafraskeel.core.accepting import accept_next, listen_when_free
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -111,7 +111,9 @@
 
     async def listen(self):
         """Open the listener and return its address."""
-        self._listener = await self._network.listen(self._address)
+        self._listener = await listen_when_free(
+            self._network, self._address, self._clock, self._log
+        )
         return self._listener.address
 
     async def start(self, group: SupervisedTaskGroup) -> None:
--- a/sassafraskeel/core/errors.py
+++ b/sassafraskeel/core/errors.py
@@ -87,6 +87,10 @@
         self.faults = faults
 
 
+class AddressUnavailable(UserError):
+    """A listener's address is in use, or not an address of the machine."""
+
+
 class TimedOut(SassafraskeelError):
     """An operation did not finish within its time limit."""
 
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -39,6 +39,9 @@
     LIBRARY_MESSAGE = EventSpec(109, Level.INFO, "message from a library")
     LONG_TURN = EventSpec(110, Level.WARNING, "a task kept all others waiting")
     PROCESS_FAILED = EventSpec(111, Level.ERROR, "process ends after an error")
+    ADDRESS_IN_USE = EventSpec(
+        112, Level.WARNING, "address of a listener is not available"
+    )
     CALL_REFUSED = EventSpec(201, Level.INFO, "call refused")
     CALL_FAILED = EventSpec(202, Level.WARNING, "answer ended with an error")
     CALL_FINISHED = EventSpec(203, Level.DEBUG, "call finished")
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -1,5 +1,6 @@
 """Interfaces for byte streams, and their implementation with TCP and TLS."""
 
+import errno
 import math
 import ssl
 import struct
@@ -9,7 +10,13 @@
 from curio import network, socket, ssl as curio_ssl
 
 from sassafraskeel.core.clock import Clock, SystemClock
-from sassafraskeel.core.errors import AcceptFailed, ConnectionLost, TimedOut, UserError
+from sassafraskeel.core.errors import (
+    AcceptFailed,
+    AddressUnavailable,
+    ConnectionLost,
+    TimedOut,
+    UserError,
+)
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.turns import TurnTimer
 
@@ -125,7 +132,10 @@
         """Open a connection; raise ConnectionLost."""
 
     async def listen(self, address: Address) -> Listener:
-        """Listen on an address; port 0 selects a free port."""
+        """Listen on an address; port 0 selects a free port.
+
+        Raises AddressUnavailable if it may be free later, and UserError.
+        """
 
 
 class TcpStream:
@@ -265,7 +275,9 @@
                 address.ip, address.port, backlog=LISTEN_BACKLOG
             )
         except OSError as exc:
-            raise UserError(f"cannot listen on {address}: {exc}") from exc
+            is_unavailable = exc.errno in (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+            error = AddressUnavailable if is_unavailable else UserError
+            raise error(f"cannot listen on {address}: {exc}") from exc
         return TcpListener(sock, self._server_context, self._turns)
 
 
--- a/sassafraskeel/operators/server.py
+++ b/sassafraskeel/operators/server.py
@@ -8,7 +8,7 @@
 import h11
 
 from sassafraskeel.callers.refusals import JSON_HEADER, encode_refusal
-from sassafraskeel.core.accepting import accept_next
+from sassafraskeel.core.accepting import accept_next, listen_when_free
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     Reason,
@@ -69,7 +69,9 @@
 
     async def listen(self):
         """Open the listener and return its address."""
-        self._listener = await self._network.listen(self._cfg.listen)
+        self._listener = await listen_when_free(
+            self._network, self._cfg.listen, self._clock, self._log
+        )
         return self._listener.address
 
     async def start(self, group: SupervisedTaskGroup) -> None:
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -372,8 +372,8 @@
         self._auxiliary_servers = [
             self._build_server(cfg.listen.directory, interfaces.directory),
             self._build_server(cfg.listen.readiness, interfaces.readiness),
-            self._build_server(cfg.listen.metrics, metrics),
         ]
+        self._metrics_server = self._build_server(cfg.listen.metrics, metrics)
 
     def _build_server(self, listen, interface) -> CallerServer:
         env = self._env
@@ -419,6 +419,7 @@
                 await server.start(self._group)
             await self._links.start()
             for function, *args in (
+                (self._start_metrics,),
                 (self.follower.run,),
                 (self._manifest_peers.follow, self.follower.apply_document),
                 (self._registration.run,),
@@ -440,6 +441,14 @@
             callers=str(local_host.callers),
         )
 
+    async def _start_metrics(self) -> None:
+        """Open the listener for metrics, without which callers are served as well.
+
+        Its port is fixed, so that another process may have it.
+        """
+        await self._metrics_server.listen()
+        await self._metrics_server.start(self._group)
+
     async def drain(self) -> None:
         """Leave the directory, finish the calls in flight, then close.
 
@@ -498,6 +507,7 @@
         for server in (
             self._caller_server,
             *self._auxiliary_servers,
+            self._metrics_server,
             self._gateway_server,
         ):
             await server.close()
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -1,8 +1,18 @@
 """Processes that don't start, or end by themselves (issue 48, FAULT)."""
 
+import itertools
+import socket
 from unittest import TestCase
 
+from sassafraskeel.core.accepting import LISTEN_WAIT_SECONDS, listen_when_free
+from sassafraskeel.core.errors import AddressUnavailable
+from sassafraskeel.core.net import RESET_AT_CLOSE, Address, parse_address
+from tests.support.clock import run_virtual
+from tests.support.network import MemoryNetwork
 from tests.support.program import HostProgram
+from tests.test_log import ListLog
+
+LOOPBACK = ("127.0.0.1", 0)
 
 FAILING_START = """
 @after("sassafraskeel.route_host")
@@ -19,6 +29,11 @@
             raise FileNotFoundError("a descriptor is gone")
     module.TurnTimer.suspended = suspended
 """
+NO_WAIT = """
+@after("sassafraskeel.core.accepting")
+def set_wait(module):
+    module.LISTEN_WAIT_SECONDS = 0.0
+"""
 
 
 class FailureLineTest(TestCase):
@@ -40,3 +55,95 @@
     def test_kernel_fails(self):
         """Guards against an error of the event loop that leaves no line of the log."""
         self.check(FAILING_KERNEL, "FileNotFoundError")
+
+
+class AddressTest(TestCase):
+    """Addresses of listeners that something else has at the start."""
+
+    def test_other_listener(self):
+        """Guards against a host that ends because its predecessor still listens."""
+        for name in ("callers", "gateways", "readiness", "directory"):
+            with HostProgram() as program:
+                holder = socket.create_server(parse_address(program.listen[name]))
+                program.start()
+                self.check_start(program, name, holder)
+
+    def test_outgoing_connection(self):
+        """Guards against a host that ends because a connection of another process has
+        the port of its listener.
+        """
+        with HostProgram() as program, socket.create_server(LOOPBACK) as server:
+            holder = socket.socket()
+            holder.bind(parse_address(program.listen["callers"]))
+            holder.connect(server.getsockname())
+            # The close resets the connection, so that its port is free at once.
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            program.start()
+            self.check_start(program, "callers", holder)
+
+    def check_start(self, program, name, holder):
+        """Check that a host waits for an address and starts once it is free."""
+        address = program.listen[name]
+        self.assertEqual(program.wait_event(112)["address"], address)
+        self.assertEqual(program.events(101), [])
+        holder.close()
+        program.wait_event(101)
+        socket.create_connection(parse_address(address)).close()
+
+    def test_metrics(self):
+        """Guards against a host that serves nobody since its fixed port is in use."""
+        with HostProgram() as program:
+            address = parse_address(program.listen["metrics"])
+            with socket.create_server(address):
+                program.start()
+                program.wait_event(101)
+                self.assertEqual(program.wait_event(112)["address"], str(address))
+            program.wait_for(lambda: connects(address))
+
+    def test_no_address_of_the_machine(self):
+        """Guards against a traceback in place of a message, and against a host that
+        waits without end.
+        """
+
+        async def main(clock):
+            network = MemoryNetwork()
+            listen, failures = network.listen, itertools.count(1)
+
+            async def fail(address):
+                raise AddressUnavailable(f"{address}: {next(failures)}")
+
+            network.listen = fail
+            address = Address("127.0.0.1", 1)
+            started_at, log = clock.monotonic(), ListLog()
+            with self.assertRaises(AddressUnavailable):
+                await listen_when_free(network, address, clock, log)
+            seconds = clock.monotonic() - started_at
+            self.assertAlmostEqual(seconds, LISTEN_WAIT_SECONDS, delta=1.0)
+            self.assertEqual(len(log.events), 1)
+            network.listen = listen
+            listener = await listen_when_free(network, address, clock, log)
+            self.assertEqual(listener.address, address)
+
+        run_virtual(main)
+
+    def test_message(self):
+        """Guards against a traceback for what an operator can correct."""
+        with HostProgram(NO_WAIT) as program:
+            address = parse_address(program.listen["gateways"])
+            with socket.create_server(address):
+                program.start()
+                program.wait()
+            self.assertEqual(program.wait(), 2)
+            self.assertIn("cannot listen on", program.output())
+            self.assertNotIn("Traceback", program.output())
+            [line] = program.events(111)
+            self.assertIn(program.listen["gateways"], line["detail"])
+
+
+def connects(address) -> bool:
+    """Return whether a listener takes connections."""
+    try:
+        socket.create_connection(address).close()
+    except OSError:
+        return False
+    return True
