Receive signals before the imports of a host

Cause: the handlers were set after the imports, and the former ones were restored before the interpreter exits.

The waiter is now created before the imports and keeps what it receives; after its close the signals are ignored. The start runs beside the wait for a signal, so that a host is stopped at once while it waits for an address. The interpreter itself takes some 20 ms to begin; a signal in that time has its default action.

--- a/sassafraskeel/core/tasks.py
+++ b/sassafraskeel/core/tasks.py
@@ -9,6 +9,18 @@
 RESTART_SECONDS = 0.5
 
 
+async def run_until_first(*functions):
+    """Run coroutine functions until one of them is over, and return that one.
+
+    The others are cancelled. Raises the exception of the first one.
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        tasks = {await group.spawn(function): function for function in functions}
+    if group.completed.exception is not None:
+        raise group.completed.exception
+    return tasks[group.completed]
+
+
 class SupervisedTaskGroup:
     """A group of tasks that reports every failure.
 
--- a/sassafraskeel/daemon.py
+++ b/sassafraskeel/daemon.py
@@ -11,6 +11,7 @@
 from sassafraskeel.core.process import failure_logged
 from sassafraskeel.core.settings import HostSection, Settings
 from sassafraskeel.core.signals import SignalWaiter
+from sassafraskeel.core.tasks import run_until_first
 from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.host import Environment, Host
 from sassafraskeel.store.key_value import PlatformClient
@@ -43,25 +44,22 @@
     """Run a host until it has drained.
 
     The first SIGTERM or SIGINT, or an operator's request, starts the drain. A signal
-    during the drain stops the host immediately.
+    before the host has started, or during the drain, stops it immediately.
     """
     async with SignalWaiter(signal.SIGTERM, signal.SIGINT) as signals:
-        await host.start()
+        stopping = await curio.spawn(signals.wait, daemon=True)
+        start = host.start
         try:
-            await _run_until_first(signals.wait, host.drain_requested.wait)
-            await _run_until_first(host.drain, signals.wait)
+            if await run_until_first(start, stopping.wait) is not start:
+                return
+            await run_until_first(stopping.wait, host.drain_requested.wait)
+            next_signal = signals.wait if stopping.terminated else stopping.wait
+            await run_until_first(host.drain, next_signal)
         finally:
+            await stopping.cancel()
             await host.close()
 
 
-async def _run_until_first(*functions) -> None:
-    async with curio.TaskGroup(wait=any) as group:
-        for function in functions:
-            await group.spawn(function)
-    if group.completed.exception is not None:
-        raise group.completed.exception
-
-
 def run(cfg: Settings) -> None:
     """Run the gateway process."""
     host = build_host(cfg)
--- a/sassafraskeel/platform/daemon.py
+++ b/sassafraskeel/platform/daemon.py
@@ -22,7 +22,7 @@
 from sassafraskeel.core.route_settings import RouteSettings
 from sassafraskeel.core.settings import load_settings
 from sassafraskeel.core.signals import SignalWaiter
-from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.core.tasks import SupervisedTaskGroup, run_until_first
 from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.platform.callers import (
     DirectoryInterface,
@@ -68,17 +68,22 @@
     return RouteHost(cfg, env)
 
 
-async def serve(host: RouteHost, path: Path) -> None:
-    """Run a host until it has drained; the first SIGTERM or SIGINT starts the drain."""
+async def serve(host: RouteHost, path: Path, signals: SignalWaiter) -> None:
+    """Run a host until it has drained; the first SIGTERM or SIGINT starts the drain.
+
+    A host that has not started by then ends at once.
+    """
     group = SupervisedTaskGroup(
         lambda exc: host.log.emit(Event.TASK_FAILED, detail=str(exc))
     )
-    signal_numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    async with SignalWaiter(*signal_numbers) as signals:
-        await host.start()
+    async with signals:
+        # The task goes on until it is asked for: a signal is received only once.
+        stopping = await group.spawn(_wait_for_stop, host, path, signals)
+        start = host.start
         try:
-            while await signals.wait() == signal.SIGHUP:
-                _report_changed_settings(host, path)
+            if await run_until_first(start, stopping.wait) is not start:
+                return
+            await stopping.wait()
             drain = await group.spawn(host.drain)
             await drain.wait()
         finally:
@@ -86,6 +91,11 @@
             await host.close()
 
 
+async def _wait_for_stop(host: RouteHost, path: Path, signals: SignalWaiter) -> None:
+    while await signals.wait() == signal.SIGHUP:
+        _report_changed_settings(host, path)
+
+
 def _report_changed_settings(host: RouteHost, path: Path) -> None:
     """Read the settings again and log whether they differ from those in force.
 
@@ -99,7 +109,7 @@
     host.log.emit(Event.SETTINGS_READ, changed=changed)
 
 
-def main(path: Path) -> None:
+def main(path: Path, signals: SignalWaiter) -> None:
     """Run the process; print a UserError and exit with status 2."""
     try:
         cfg = load_settings(path, RouteSettings)
@@ -109,7 +119,7 @@
     host = build_host(cfg)
     try:
         with failure_logged(host.log):
-            curio.run(serve, host, path, activations=[host.turns])
+            curio.run(serve, host, path, signals, activations=[host.turns])
     except UserError as exc:
         print(exc, file=sys.stderr)
         sys.exit(2)
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -1,7 +1,9 @@
 """Processes that don't start, or end by themselves (issue 48, FAULT)."""
 
 import itertools
+import signal
 import socket
+import time
 from unittest import TestCase
 
 from sassafraskeel.core.accepting import LISTEN_WAIT_SECONDS, listen_when_free
@@ -34,6 +36,16 @@
 def set_wait(module):
     module.LISTEN_WAIT_SECONDS = 0.0
 """
+# The import of the event loop is among the first ones of the daemon.
+PAUSED_IMPORT = """
+@before("curio")
+def wait():
+    pause("import")
+"""
+PAUSED_EXIT = """
+import atexit
+atexit.register(pause, "exit")
+"""
 
 
 class FailureLineTest(TestCase):
@@ -147,3 +159,50 @@
     except OSError:
         return False
     return True
+
+
+class SignalTest(TestCase):
+    """Signals while a process starts or ends, whose default action would end it."""
+
+    def test_during_the_imports(self):
+        """Guards against a changed settings file that ends a starting host."""
+        with HostProgram(PAUSED_IMPORT) as program:
+            program.start()
+            program.wait_reached("import")
+            program.send_signal(signal.SIGHUP)
+            program.let_pass("import")
+            program.wait_event(101)
+            program.wait_event(107)
+            self.assertEqual(program.stop(), 0)
+
+    def test_stop_during_the_imports(self):
+        """Guards against a planned stop of a starting host that looks like a crash."""
+        with HostProgram(PAUSED_IMPORT) as program:
+            program.start()
+            program.wait_reached("import")
+            program.send_signal(signal.SIGTERM)
+            program.let_pass("import")
+            self.assertEqual(program.wait(), 0)
+
+    def test_stop_while_waiting_for_an_address(self):
+        """Guards against a host that can't be stopped while it waits to start."""
+        with HostProgram() as program:
+            with socket.create_server(parse_address(program.listen["callers"])):
+                program.start()
+                program.wait_event(112)
+                started_at = time.monotonic()
+                self.assertEqual(program.stop(), 0)
+                self.assertLess(time.monotonic() - started_at, LISTEN_WAIT_SECONDS)
+            self.assertEqual(program.events(101), [])
+
+    def test_after_the_drain(self):
+        """Guards against a signal that ends an exiting process with a failure."""
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            with HostProgram(PAUSED_EXIT) as program:
+                program.start()
+                program.wait_event(101)
+                program.send_signal(signal.SIGTERM)
+                program.wait_reached("exit")
+                program.send_signal(number)
+                program.let_pass("exit")
+                self.assertEqual(program.wait(), 0)
