Unregister a socket that a task closes while others wait for it

curio keeps a descriptor registered while a task waits for it, and until a task that it woke has run. If another task closes the socket, the next socket with the same descriptor meets the entry: a write raises FileNotFoundError inside the event loop, which ends the process, or an innocent task gets ReadResourceBusy or WriteResourceBusy. Reproduced with TcpNetwork on loopback. TcpListener guarded against the first case, TcpStream against none. That a path of the product closes a stream in this state is only suspected: every one that was read joins the other task first.

A close now takes the entry away and wakes the waiting tasks, which see ConnectionLost. They can still be cancelled after it.

--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, Protocol
 
 import curio
-from curio import network, socket, ssl as curio_ssl
+from curio import network, socket, ssl as curio_ssl, traps
 
 from sassafraskeel.core.clock import Clock, SystemClock
 from sassafraskeel.core.errors import (
@@ -138,6 +138,43 @@
         """
 
 
+class _SocketClosed(curio.CancelledError):
+    """Wakes a task that waits for a socket that another task closes."""
+
+
+async def _close_socket(sock) -> None:
+    """Close a socket, and wake the other tasks that wait for it.
+
+    curio keeps a descriptor registered while a task waits for it, and until a task that
+    it woke runs on. The next socket gets the same descriptor: its tasks would fail, or
+    end the event loop and thus the process.
+    """
+    fileno = sock._fileno
+    await traps._io_release(fileno)  # For the current task.
+    selector = (await traps._get_kernel())._selector
+    for task in _registered_tasks(selector, fileno):
+        if task.cancel_func is not None:
+            task.cancelled = False  # curio cancels a task only once.
+            await task.cancel(exc=_SocketClosed, blocking=False)
+        else:
+            task._last_io = None
+    if _registered_tasks(selector, fileno):
+        selector.unregister(fileno)
+    await sock.close()
+
+
+def _registered_tasks(selector, fileno) -> list[curio.Task]:
+    try:
+        return [task for task in selector.get_key(fileno).data if task is not None]
+    except (KeyError, ValueError):  # Not registered, or closed already.
+        return []
+
+
+async def _raise_closed(exc: _SocketClosed):
+    (await curio.current_task()).cancelled = False
+    raise ConnectionLost("another task has closed the connection") from exc
+
+
 class TcpStream:
     """A TCP or TLS connection; `peer` names the other end in logs."""
 
@@ -157,6 +194,8 @@
         self._written_in_turn = -1
         try:
             return await self._sock.recv(max_bytes)
+        except _SocketClosed as exc:
+            await _raise_closed(exc)
         except OSError as exc:
             raise ConnectionLost(str(exc)) from exc
 
@@ -171,6 +210,8 @@
                 if self._turns.is_over():
                     await self._turns.give_way()
                 await self._sock.sendall(data[start : start + WRITE_SLICE_BYTES])
+        except _SocketClosed as exc:
+            await _raise_closed(exc)
         except OSError as exc:
             raise ConnectionLost(str(exc)) from exc
         self._written_in_turn = self._turns.number
@@ -184,7 +225,7 @@
     async def close(self) -> None:
         if not self._closed:
             self._closed = True
-            await self._sock.close()
+            await _close_socket(self._sock)
 
     async def reset(self) -> None:
         if not self._closed:
@@ -192,10 +233,6 @@
             await self.close()
 
 
-class _ListenerClosed(curio.CancelledError):
-    """Wakes the task that waits in `accept`."""
-
-
 class TcpListener:
     """A listening TCP socket."""
 
@@ -204,7 +241,6 @@
         self._context = context
         self._turns = turns
         self._closed = False
-        self._accepting_task = None
         self.address = Address(*sock.getsockname()[:2])
 
     async def accept(self) -> Stream:
@@ -213,16 +249,13 @@
         if self._closed:
             raise ConnectionLost("the listener is closed")
         self._turns.record_read(f"clients of {self.address}")
-        self._accepting_task = await curio.current_task()
         try:
             sock, address = await self._sock.accept()
-        except _ListenerClosed as exc:
-            raise ConnectionLost(str(exc)) from exc
+        except _SocketClosed as exc:
+            await _raise_closed(exc)
         except OSError as exc:
             error = ConnectionLost if self._closed else AcceptFailed
             raise error(str(exc)) from exc
-        finally:
-            self._accepting_task = None
         _set_options(sock)
         if self._context is not None:
             # The handshake runs at the first read, in the task of the connection,
@@ -236,11 +269,7 @@
     async def close(self) -> None:
         if not self._closed:
             self._closed = True
-            if self._accepting_task is not None:
-                # curio keeps the descriptor of a waiting task registered; the next
-                # socket with the same descriptor would crash the curio kernel.
-                await self._accepting_task.cancel(exc=_ListenerClosed, blocking=False)
-            await self._sock.close()
+            await _close_socket(self._sock)
 
 
 class TcpNetwork:
