Serve without the standard streams or a reader of the log

A host of routes whose standard output is closed did not start (AttributeError, status 1), nor did one of a sheet without any of the three streams. A host of a sheet ended with status 1 when nobody had its standard error open any more, and stopped serving when the reader of it stopped reading, since it wrote its log there with blocking writes. All tried on the real programs.

Both programs write their log without blocking and count what is dropped, as hosts of routes did. Streams that are closed are opened on the null device, so that no socket gets their descriptors. A terminal keeps its mode. Text that is no valid Unicode is escaped in place of an error.

--- a/sassafraskeel/core/log.py
+++ b/sassafraskeel/core/log.py
@@ -2,7 +2,6 @@
 
 import logging
 import os
-import sys
 from typing import IO, Protocol
 
 import structlog
@@ -30,9 +29,7 @@
 class StructuredLog:
     """A sink that writes one JSON object or console line per event."""
 
-    def __init__(
-        self, clock: Clock, host: str, output: IO | None = None, json: bool = True
-    ):
+    def __init__(self, clock: Clock, host: str, output: IO, json: bool = True):
         renderer = (
             structlog.processors.JSONRenderer(default=str)
             if json
@@ -40,7 +37,7 @@
         )
         self._clock = clock
         self._logger = structlog.wrap_logger(
-            structlog.WriteLogger(output or sys.stderr), processors=[renderer]
+            structlog.WriteLogger(output), processors=[renderer]
         ).bind(host=host)
 
     def emit(self, event: Event, **fields) -> None:
@@ -55,10 +52,14 @@
 
 
 class NonBlockingOutput:
-    """Writes lines to a file descriptor and drops those that would block."""
+    """Writes lines to a file descriptor and drops those that would block.
+
+    A terminal is left as it is, because it shares its mode with other programs.
+    """
 
     def __init__(self, fd: int):
-        os.set_blocking(fd, False)
+        if not os.isatty(fd):
+            os.set_blocking(fd, False)
         self._fd = fd
         self._unwritten = b""
         self.dropped = 0
@@ -71,7 +72,7 @@
             if self._unwritten:
                 self.dropped += 1
                 return
-            data = text.encode()
+            data = text.encode(errors="backslashreplace")
             # The unwritten rest of a line is written before the next line.
             self._unwritten = data[os.write(self._fd, data) :]
         except OSError:
--- a/sassafraskeel/daemon.py
+++ b/sassafraskeel/daemon.py
@@ -6,7 +6,8 @@
 import curio
 
 from sassafraskeel.core.clock import Clock, SystemClock
-from sassafraskeel.core.log import RateLimitedLog, StructuredLog
+from sassafraskeel.core.descriptors import STDERR, open_standard_streams
+from sassafraskeel.core.log import NonBlockingOutput, RateLimitedLog, StructuredLog
 from sassafraskeel.core.net import TcpNetwork
 from sassafraskeel.core.process import failure_logged
 from sassafraskeel.core.settings import HostSection, Settings
@@ -19,7 +20,8 @@
 
 def build_log(cfg: HostSection, clock: Clock) -> RateLimitedLog:
     """Return a log for a host that writes to standard error."""
-    log = StructuredLog(clock, cfg.name, json=cfg.log_format == "json")
+    output = NonBlockingOutput(STDERR)
+    log = StructuredLog(clock, cfg.name, output, json=cfg.log_format == "json")
     return RateLimitedLog(log, clock, debug=cfg.log_level == "debug")
 
 
@@ -62,6 +64,7 @@
 
 def run(cfg: Settings) -> None:
     """Run the gateway process."""
+    open_standard_streams()
     host = build_host(cfg)
     with failure_logged(host.log):
         curio.run(serve, host, activations=[host.turns])
--- a/sassafraskeel/platform/__main__.py
+++ b/sassafraskeel/platform/__main__.py
@@ -5,6 +5,7 @@
 import sys
 from pathlib import Path
 
+from sassafraskeel.core.descriptors import open_standard_streams
 from sassafraskeel.core.signals import SignalWaiter
 
 
@@ -14,6 +15,7 @@
     What the imports create lasts as long as the process. Collections during the imports
     take a quarter of their time, and later ones need not look at it again.
     """
+    open_standard_streams()
     signals = SignalWaiter(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     gc.disable()
     from sassafraskeel.platform.daemon import main
--- a/sassafraskeel/platform/daemon.py
+++ b/sassafraskeel/platform/daemon.py
@@ -9,6 +9,7 @@
 import curio
 
 from sassafraskeel.core.clock import SystemClock
+from sassafraskeel.core.descriptors import STDOUT
 from sassafraskeel.core.errors import UserError
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import (
@@ -48,7 +49,7 @@
 def build_host(cfg: RouteSettings) -> RouteHost:
     """Return a host that uses the system clock and TCP."""
     clock = SystemClock()
-    output = NonBlockingOutput(sys.stdout.fileno())
+    output = NonBlockingOutput(STDOUT)
     log = StructuredLog(clock, cfg.host.name, output)
     bounded_log = RateLimitedLog(log, clock, debug=cfg.host.log_level == "debug")
     logging.getLogger().addHandler(LibraryHandler(bounded_log))
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from tools.cluster import free_address
+from tools.cluster import SETTINGS as SHEET_SETTINGS, free_address
 from tools.route_cluster import LISTENERS, SETTINGS
 
 WAIT_SECONDS = 30.0
@@ -53,25 +53,13 @@
 """
 
 
-class HostProgram:
-    """The process of a host without a store; a context manager that ends it.
+class Program:
+    """A process of the product; a context manager that ends it."""
 
-    `code` is Python code that runs in the process before the program; it may use the
-    functions of HOOKS.
-    """
-
-    def __init__(self, code: str = ""):
+    def __init__(self):
         self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
         self.folder = Path(self._folder.name)
-        used: set[str] = set()
-        self.listen = {name: free_address(used) for name in LISTENERS}
-        text = SETTINGS.format(
-            name="host-1", zone="north-a", store=free_address(used), **self.listen
-        )
-        self._settings = self.folder / "host.ini"
-        self._settings.write_text(text + "north-a = north\n", encoding="utf-8")
-        site = HOOKS.format(folder=str(self.folder)) + code
-        (self.folder / "sitecustomize.py").write_text(site, encoding="utf-8")
+        self.settings = self.folder / "host.ini"
         self.process: subprocess.Popen | None = None
 
     def __enter__(self):
@@ -83,26 +71,18 @@
             self.process.wait()
         self._folder.cleanup()
 
-    def start(self, redirections: str = "") -> None:
-        """Start the process; `redirections` are those of a shell."""
+    def run(self, *arguments: str, redirections: str = "", stderr=None) -> None:
+        """Start a module with its arguments; `redirections` are those of a shell."""
         root = str(Path(__file__).resolve().parents[2])
         env = os.environ | {"PYTHONPATH": f"{self.folder}{os.pathsep}{root}"}
-        command = [sys.executable, "-m", "sassafraskeel.platform", str(self._settings)]
+        command = [sys.executable, "-m", *arguments, str(self.settings)]
         if redirections:
             command = ["sh", "-c", f'exec "$@" {redirections}', "sh", *command]
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                command, stdout=log, stderr=log, env=env, cwd=root
+                command, stdout=log, stderr=stderr or log, env=env, cwd=root
             )
 
-    def wait_reached(self, name: str) -> None:
-        """Wait until the process has reached a point of its code."""
-        self.wait_for(lambda: (self.folder / f"{name}.reached").exists())
-
-    def let_pass(self, name: str) -> None:
-        """Let the process go on at a point of its code."""
-        (self.folder / f"{name}.passed").touch()
-
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
         self.process.send_signal(number)
@@ -139,3 +119,58 @@
         lines = [line for line in self.output().splitlines() if line.startswith("{")]
         found = [json.loads(line) for line in lines if line.endswith("}")]
         return [line for line in found if line["number"] == number]
+
+
+class HostProgram(Program):
+    """The process of a host of routes without a store.
+
+    `code` is Python code that runs in the process before the program; it may use the
+    functions of HOOKS.
+    """
+
+    def __init__(self, code: str = ""):
+        super().__init__()
+        used: set[str] = set()
+        self.listen = {name: free_address(used) for name in LISTENERS}
+        text = SETTINGS.format(
+            name="host-1", zone="north-a", store=free_address(used), **self.listen
+        )
+        self.settings.write_text(text + "north-a = north\n", encoding="utf-8")
+        site = HOOKS.format(folder=str(self.folder)) + code
+        (self.folder / "sitecustomize.py").write_text(site, encoding="utf-8")
+
+    def start(self, redirections: str = "") -> None:
+        """Start the process; `redirections` are those of a shell."""
+        self.run("sassafraskeel.platform", redirections=redirections)
+
+    def wait_reached(self, name: str) -> None:
+        """Wait until the process has reached a point of its code."""
+        self.wait_for(lambda: (self.folder / f"{name}.reached").exists())
+
+    def let_pass(self, name: str) -> None:
+        """Let the process go on at a point of its code."""
+        (self.folder / f"{name}.passed").touch()
+
+
+class SheetProgram(Program):
+    """The process of a host of a sheet without a platform."""
+
+    def __init__(self):
+        super().__init__()
+        used: set[str] = set()
+        listen = {
+            name: free_address(used) for name in ("callers", "gateways", "operators")
+        }
+        self.callers = listen["callers"]
+        text = SHEET_SETTINGS.format(
+            name="host-1",
+            domain="north-a",
+            seeds=listen["gateways"],
+            platform=free_address(used),
+            **listen,
+        )
+        self.settings.write_text(text, encoding="utf-8")
+
+    def start(self, stderr=None) -> None:
+        """Start the process; `stderr` is a descriptor for its log."""
+        self.run("sassafraskeel", "serve", stderr=stderr)
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -1,9 +1,12 @@
 """Processes that don't start, or end by themselves (issue 48, FAULT)."""
 
+import contextlib
 import itertools
+import os
 import signal
 import socket
 import time
+from pathlib import Path
 from unittest import TestCase
 
 from sassafraskeel.core.accepting import LISTEN_WAIT_SECONDS, listen_when_free
@@ -11,7 +14,7 @@
 from sassafraskeel.core.net import RESET_AT_CLOSE, Address, parse_address
 from tests.support.clock import run_virtual
 from tests.support.network import MemoryNetwork
-from tests.support.program import HostProgram
+from tests.support.program import WAIT_SECONDS, HostProgram, SheetProgram
 from tests.test_log import ListLog
 
 LOOPBACK = ("127.0.0.1", 0)
@@ -206,3 +209,55 @@
                 program.send_signal(number)
                 program.let_pass("exit")
                 self.assertEqual(program.wait(), 0)
+
+
+class StandardStreamTest(TestCase):
+    """Standard streams that are closed, broken, or read by nobody."""
+
+    def test_closed(self):
+        """Guards against a host of routes that doesn't start without a stream."""
+        for redirections in (">&-", "2>&-", "<&- >&- 2>&-"):
+            with HostProgram() as program:
+                program.start(redirections)
+                self.check_serving(program, program.listen["readiness"])
+
+    def test_descriptors(self):
+        """Guards against sockets that get the descriptors of closed streams, so that
+        what the process prints is sent to a peer.
+        """
+        with HostProgram() as program:
+            program.start("<&- >&- 2>&-")
+            self.check_serving(program, program.listen["readiness"])
+            folder = Path(f"/proc/{program.process.pid}/fd")
+            for fd in ("0", "1", "2"):
+                self.assertEqual((folder / fd).resolve(), Path(os.devnull))
+
+    def test_broken_pipe(self):
+        """Guards against a host of a sheet that ends as its log has no reader."""
+        with SheetProgram() as program:
+            reader, writer = os.pipe()
+            os.close(reader)
+            program.start(stderr=writer)
+            os.close(writer)
+            self.check_serving(program, program.callers)
+
+    def test_full_pipe(self):
+        """Guards against a host of a sheet that waits for the reader of its log."""
+        with SheetProgram() as program:
+            reader, writer = os.pipe()
+            os.set_blocking(writer, False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    os.write(writer, bytes(4096))
+            os.set_blocking(writer, True)
+            program.start(stderr=writer)
+            self.check_serving(program, program.callers)
+            os.close(reader)
+            os.close(writer)
+
+    def check_serving(self, program, address):
+        """Check that a process answers a request."""
+        program.wait_for(lambda: connects(parse_address(address)))
+        with socket.create_connection(parse_address(address), WAIT_SECONDS) as sock:
+            sock.sendall(b"GET /health HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.assertTrue(sock.recv(1).startswith(b"H"))
