Bound the memory for bodies of requests

Bodies of all requests, of callers and of other hosts, share a budget of 40 MB for hosts of routes. Beyond it a long body is refused as not run, before it is read if its length is known.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -11,6 +11,7 @@
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.core.accepting import accept_next, listen_when_free
+from sassafraskeel.core.body_budget import BodyBudget
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -56,6 +57,7 @@
     dispatcher: CallDispatcher | None
     request_tracker: RequestTracker
     recorder: CallRecorder | None
+    bodies: BodyBudget
 
 
 class CallerConnection:
@@ -279,12 +281,23 @@
         now = self._clock.monotonic()
         call = record.call = interface.read_call(request, record.call_id, now)
         dispatcher.check(call)
+        length = find_header(request.headers, b"content-length")
+        self._components.bodies.hold().check(int(length or 0))
         if http.h11.they_are_waiting_for_100_continue:
             await http.send(h11.InformationalResponse(status_code=100, headers=[]))
-        body = await receive_body(
-            http, self._clock, interface.limits(), interface.max_body_bytes()
-        )
-        async with conn.stream.watch(is_cancelled_with_caller(call)):
+        with self._components.bodies.hold() as held:
+            body = await receive_body(
+                http,
+                self._clock,
+                interface.limits(),
+                interface.max_body_bytes(),
+                held.add,
+            )
+            await self._run_call(conn, record, body)
+
+    async def _run_call(self, conn, record: CallRecord, body: bytes) -> None:
+        dispatcher = self._components.dispatcher
+        async with conn.stream.watch(is_cancelled_with_caller(record.call)):
             answer = await self._components.recorder.run(record, dispatcher, body)
             try:
                 await self._relay_in_time(conn, record, answer)
--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 connections over a Stream, for clients and servers, based on h11."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import curio
 import h11
@@ -168,14 +168,21 @@
         if data:
             await self.stream.write(data)
 
-    async def read_body(self, max_bytes: int) -> bytes | None:
-        """Return the complete body, or None as soon as it exceeds `max_bytes`."""
+    async def read_body(
+        self, max_bytes: int, on_data: Callable[[int], None] | None = None
+    ) -> bytes | None:
+        """Return the complete body, or None as soon as it exceeds `max_bytes`.
+
+        `on_data` is called with the size of each part; what it raises ends the reading.
+        """
         parts = []
         size = 0
         while data := await self.read_data():
             size += len(data)
             if size > max_bytes:
                 return None
+            if on_data is not None:
+                on_data(len(data))
             parts.append(data)
         return b"".join(parts)
 
--- a/sassafraskeel/core/http_requests.py
+++ b/sassafraskeel/core/http_requests.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -76,12 +77,19 @@
 
 
 async def receive_body(
-    http: HttpConnection, clock: Clock, timeouts: RequestTimeouts, max_bytes: int
+    http: HttpConnection,
+    clock: Clock,
+    timeouts: RequestTimeouts,
+    max_bytes: int,
+    on_data: Callable[[int], None] | None = None,
 ) -> bytes:
-    """Return the body of a request; raise Refusal if it is too long or too slow."""
+    """Return the body of a request; raise Refusal if it is too long or too slow.
+
+    `on_data` is called with the size of each part, and may raise Refusal too.
+    """
     try:
         async with clock.timeout(timeouts.body):
-            body = await http.read_body(max_bytes)
+            body = await http.read_body(max_bytes, on_data)
     except TimedOut as exc:
         raise not_run_refusal(
             Reason.BAD_REQUEST, "the body did not arrive in time"
--- a/sassafraskeel/core/route_settings.py
+++ b/sassafraskeel/core/route_settings.py
@@ -58,9 +58,14 @@
 
 
 class RouteCallerSection(Section):
-    """The interface to callers."""
+    """The interface to callers; `max_held_bytes` bounds the bodies of all requests.
+
+    A body is copied while it is sent on, and a host without calls takes 50 to 80 MB, so
+    that a machine with 200 MB bears the default.
+    """
 
     max_connections: int = Field(2000, ge=1)
+    max_held_bytes: int = Field(40_000_000, ge=1_000_000)
     # The platform caps the TTL at a few seconds.
     directory_ttl: Duration = timedelta(seconds=2)
 
--- a/sassafraskeel/core/settings.py
+++ b/sassafraskeel/core/settings.py
@@ -68,6 +68,8 @@
     listen: AddressField
     max_body_bytes: int = Field(4 * 1024 * 1024, ge=1024, le=64 * 1024 * 1024)
     max_connections: int = Field(2000, ge=1)
+    # For the bodies of all requests together.
+    max_held_bytes: int = Field(128 * 1024 * 1024, ge=1024 * 1024)
     head_timeout: Duration = timedelta(seconds=10)
     body_timeout: Duration = timedelta(seconds=30)
     idle_timeout: Duration = timedelta(seconds=60)
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -9,6 +9,7 @@
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.core.accepting import accept_next, listen_when_free
+from sassafraskeel.core.body_budget import BodyBudget, HeldBody
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -75,6 +76,7 @@
     request_tracker: RequestTracker
     recorder: CallRecorder
     requests: RequestHandler
+    bodies: BodyBudget
     manifest: Callable[[], bytes] = bytes
     features: str = ""
 
@@ -187,14 +189,13 @@
 
     async def _serve_call(self, channel, stream, offer: Offer | RouteOffer) -> None:
         record = self._components.recorder.begin(offer.call_id, "peer")
-        body = None
-        if isinstance(offer, RouteOffer):
-            record.call = route_offer_to_call(offer, self._clock.monotonic())
-            body = await self._read_body(channel)
-        else:
-            record.call = offer_to_call(offer, self._clock.monotonic())
+        has_body = isinstance(offer, RouteOffer)
+        to_call = route_offer_to_call if has_body else offer_to_call
+        record.call = to_call(offer, self._clock.monotonic())
         try:
-            await self._run_call(channel, stream, record, body)
+            with self._components.bodies.hold() as held:
+                body = await self._read_body(channel, held) if has_body else None
+                await self._run_call(channel, stream, record, body, held)
         except Refusal as refusal:
             record.set_refusal(refusal)
             await channel.send(refusal_to_message(refusal))
@@ -206,16 +207,18 @@
         finally:
             self._components.recorder.finish(record)
 
-    async def _read_body(self, channel: Channel) -> bytes:
+    async def _read_body(self, channel: Channel, held: HeldBody) -> bytes:
         async with self._clock.timeout(BODY_TIMEOUT_SECONDS):
-            return await _receive_body(channel)
+            return await _receive_body(channel, held)
 
-    async def _run_call(self, channel, stream, record, body: bytes | None) -> None:
+    async def _run_call(
+        self, channel, stream, record, body: bytes | None, held: HeldBody
+    ) -> None:
         self._components.request_tracker.check_peer()
         self._components.dispatcher.check(record.call)
         await channel.send(Accept(self._sheet_version()))
         if body is None:
-            body = await self._read_body(channel)
+            body = await self._read_body(channel, held)
         async with stream.watch(is_cancelled_with_caller(record.call)):
             answer = await self._components.recorder.run(
                 record, self._components.dispatcher, body
@@ -263,16 +266,26 @@
             return None
 
 
-async def _receive_body(channel: Channel) -> bytes:
+async def _receive_body(channel: Channel, held: HeldBody) -> bytes:
+    """Return the body of a call; raise Refusal after its end if it has no room."""
     parts = []
     size = 0
+    refusal = None
     while True:
         message = await channel.receive()
         if not isinstance(message, Body | BodyPart):
             raise ProtocolError("unexpected message, expected the body of a call")
-        parts.append(message.data)
         size += len(message.data)
         if size > MAX_FORWARDED_BODY_BYTES:
             raise ProtocolError("the body of a forwarded call is too long")
+        if refusal is None:
+            try:
+                held.add(len(message.data))
+                parts.append(message.data)
+            except Refusal as exc:
+                refusal = exc
+                parts.clear()
         if isinstance(message, Body):
+            if refusal is not None:
+                raise refusal
             return b"".join(parts)
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -15,6 +15,7 @@
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.calls.sheet_calls import SheetCalls, SheetSenders
 from sassafraskeel.calls.sheet_placement import SheetPlacement
+from sassafraskeel.core.body_budget import BodyBudget
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
@@ -183,13 +184,18 @@
             self.installed, self.links, self._group, env.log
         )
         self._build_membership_updater()
+        bodies = BodyBudget(cfg.callers.max_held_bytes)
         self._gateway_server = GatewayServer(
             cfg.gateways,
             env.clock,
             env.network,
             env.log,
             PeerComponents(
-                self.dispatcher, self.request_tracker, self._recorder, self.links
+                self.dispatcher,
+                self.request_tracker,
+                self._recorder,
+                self.links,
+                bodies,
             ),
             self._sheet_version,
         )
@@ -204,7 +210,11 @@
             env.rng,
             env.log,
             CallerComponents(
-                interface, self.dispatcher, self.request_tracker, self._recorder
+                interface,
+                self.dispatcher,
+                self.request_tracker,
+                self._recorder,
+                bodies,
             ),
         )
         self._operator_server = OperatorServer(
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -14,6 +14,7 @@
 from sassafraskeel.calls.route_placement import RoutePlacement
 from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.calls.stream_versions import StreamVersions
+from sassafraskeel.core.body_budget import BodyBudget
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import TimedOut
 from sassafraskeel.core.events import Event
@@ -141,6 +142,7 @@
         self.request_tracker = RequestTracker()
         self.metrics = Metrics(env.clock)
         self._recorder = CallRecorder(env.clock, env.log, self.metrics)
+        self._bodies = BodyBudget(cfg.callers.max_held_bytes)
         self.loads = ReplicaLoads()
         self.prompt_caches = PromptCaches()
         self._routing_state = RoutingState(
@@ -360,6 +362,7 @@
                 self.request_tracker,
                 self._recorder,
                 self._links,
+                self._bodies,
                 lambda: self.follower.manifest_document,
                 FEATURE,
             ),
@@ -385,7 +388,11 @@
             env.rng,
             env.log,
             CallerComponents(
-                interface, self.dispatcher, self.request_tracker, self._recorder
+                interface,
+                self.dispatcher,
+                self.request_tracker,
+                self._recorder,
+                self._bodies,
             ),
         )
 
