Refuse answers with a status above 599

Replicas in trouble may send a status that is none of HTTP's. 000 and others below 200 were refused; 600, 777 and 999 were passed on to callers as answers, directly and through a host of another region.

h11 takes any number of three digits, and RFC 9110, section 15, ends at 599. Every HTTP client of the product now takes such an answer for a violation: callers get 502, and reads go to another replica.

--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -23,6 +23,8 @@
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d{1,9})")
 # A server sends at most a few 1xx answers before the answer itself.
 MAX_INFORMATIONAL_ANSWERS = 16
+# The largest status code (RFC 9110, section 15); h11 refuses those that are too small.
+MAX_STATUS = 599
 BODYLESS_STATUSES = frozenset((204, 304))
 
 
@@ -78,6 +80,8 @@
             event = await self._http.next_event()
         if type(event) is not h11.Response:
             raise ConnectionLost("the connection closed before an answer")
+        if event.status_code > MAX_STATUS:
+            raise ProtocolError(f"{event.status_code} is no status code")
         self._check_framing(event, allow_close_delimited)
         self._record_keep_alive(event)
         return ResponseHead(event.status_code, strip_hop_by_hop(event.headers))
