Take back the versions of streams that a restarted replica began

A replica may start again under its id with other software, and serves before its entry is read.

Requests name the replica and not its run, so that this can't be known in time. When the entry of the new run is read, each host now takes back what it recorded of streams that began after its start, by born: they are resumed nowhere, and the hosts that were told refuse to take them up. Streams that were forwarded name no replica, so that all of the version and region since then count. The soak names the start of a replica in Unix milliseconds, as the platform does.

--- a/sassafraskeel/calls/stream_versions.py
+++ b/sassafraskeel/calls/stream_versions.py
@@ -13,6 +13,7 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import Call, CallKind
 from sassafraskeel.decisions.fleet import Replica, printable_version
+from sassafraskeel.decisions.recent_streams import RecentStream, RecentStreams
 from sassafraskeel.decisions.stream_origins import (
     CONFLICTING,
     OriginLookup,
@@ -35,6 +36,9 @@
     async def began(self, stream_id: str, origin: StreamOrigin, expires: float) -> None:
         """Record an origin until `expires`, in monotonic seconds; tell other hosts."""
 
+    async def take_back(self, stream_id: str, expires: float) -> None:
+        """Record that the origin of a stream is not known; tell other hosts."""
+
     async def wait_flushed(self) -> None:
         """Wait until recorded origins are on their way to other hosts."""
 
@@ -56,6 +60,7 @@
         self._origins = origins
         self._clock = clock
         self._log = log
+        self._recent = RecentStreams()
 
     async def bind_call(self, call: Call) -> Call:
         """Return a call that takes up a stream bound to its service and version.
@@ -143,12 +148,47 @@
             version = ""
         history.stream_version = version
         if version and not call.hops and call.route_policy.resumable:
+            self._record_recent(call, target, version, history)
             origin = StreamOrigin(call.service, version)
-            stream_id = call.resumes or call.call_id
-            await self._origins.began(stream_id, origin, call.expires + KEEP_SECONDS)
+            expires = call.expires + KEEP_SECONDS
+            await self._origins.began(_stream_id(call), origin, expires)
             # The host may be lost right after its caller has got the first event.
             await self._origins.wait_flushed()
 
+    def _record_recent(self, call: Call, target: Target, version: str, history) -> None:
+        if target.upstream is not None:
+            region = self._state.fleet.region_of(target.upstream.zone)
+            replica = target.name
+        else:
+            region, replica = self._state.hosts.region_of(target.host), ""
+        key = call, history
+        now = self._clock.monotonic()
+        stream = RecentStream(now, call.service, version, region, replica, key)
+        self._recent.record(stream)
+
+    async def replicas_changed(self) -> None:
+        """Take back what was recorded for streams of runs that were not listed yet.
+
+        A replica serves before its entry is read, so that its first streams count as
+        those of its former run.
+        """
+        now, wall_time = self._clock.monotonic(), self._clock.now().timestamp()
+        for change in self._state.fleet.take_version_changes():
+            region = self._state.fleet.region_of(change.former.zone)
+            streams = self._recent.take_misjudged(change, region, now, wall_time)
+            for stream in streams:
+                call, history = stream.key
+                history.stream_version = ""
+                expires = call.expires + KEEP_SECONDS
+                await self._origins.take_back(_stream_id(call), expires)
+            if streams:
+                self._log.emit(
+                    Event.STREAM_VERSIONS_TAKEN_BACK,
+                    replica=change.former.name,
+                    version=change.former.logged_version,
+                    streams=len(streams),
+                )
+
     def _may_have_changed(self, replica: Replica) -> bool:
         """Return whether a connection to a replica may be one to its next run.
 
@@ -162,6 +202,11 @@
         )
 
 
+def _stream_id(call: Call) -> str:
+    """Return the id of the attempt that brought the first event of a stream."""
+    return call.resumes or call.call_id
+
+
 def _usable_services(call: Call) -> tuple[str, ...]:
     return call.route_services.names if call.route_services else (call.service,)
 
--- a/sassafraskeel/core/events.py
+++ b/sassafraskeel/core/events.py
@@ -96,6 +96,9 @@
     )
     CALL_REJECTED = EventSpec(328, Level.INFO, "replica rejected a call")
     STREAM_TAKEN_UP = EventSpec(329, Level.INFO, "stream taken up by its caller")
+    STREAM_VERSIONS_TAKEN_BACK = EventSpec(
+        330, Level.INFO, "software version of recent streams is not known"
+    )
     PLATFORM_DOWN = EventSpec(401, Level.WARNING, "platform does not answer")
     PLATFORM_UP = EventSpec(402, Level.INFO, "platform answers")
     PLATFORM_WATCH_SILENT = EventSpec(403, Level.WARNING, "store watch timed out")
--- a/sassafraskeel/decisions/fleet.py
+++ b/sassafraskeel/decisions/fleet.py
@@ -54,6 +54,16 @@
     return version
 
 
+class VersionChange(NamedTuple):
+    """The entry of a replica's former run, and when one with other software started.
+
+    `started_at_ms` is in Unix milliseconds, 0 if it is not known.
+    """
+
+    former: Replica
+    started_at_ms: int
+
+
 class Fleet:
     """The manifest in force, the replicas and the evacuated zones.
 
@@ -75,6 +85,7 @@
         self._recovered_at: float | None = None
         self._restored_at: float | None = None
         self.table: RouteTable | None = None
+        self._version_changes: list[VersionChange] = []
         # Incremented when the set of replicas that take new work may have changed.
         self.changes = 0
 
@@ -171,9 +182,19 @@
         self.changes += 1
         if known is not None and known.started_at_ms != replica.started_at_ms:
             self._suspected_cold_until.pop(replica.name, None)
+            if known.software_version != replica.software_version:
+                change = VersionChange(known, replica.started_at_ms)
+                self._version_changes.append(change)
         self._replicas[replica.name] = replica
         return known
 
+    def take_version_changes(self) -> list[VersionChange]:
+        """Return the replicas that started again with other software since the last
+        call, at most MAX_REPLICAS.
+        """
+        changes, self._version_changes = self._version_changes, []
+        return changes[-MAX_REPLICAS:]
+
     def remove(self, name: str, now: float) -> bool:
         """Handle the removal of an entry; return whether the replica was dropped.
 
--- a/sassafraskeel/gateways/stream_origins.py
+++ b/sassafraskeel/gateways/stream_origins.py
@@ -130,6 +130,13 @@
             name = self._hosts.local_host.name
             await self._enqueue(_Entry(stream_id, Scope.STANDBY_AND_REGION, name), now)
 
+    async def take_back(self, stream_id: str, expires: float) -> None:
+        """Record that the origin of a stream is not known, and tell the others."""
+        now = self._clock.monotonic()
+        if self.origins.record(stream_id, CONFLICTING, expires, now):
+            name = self._hosts.local_host.name
+            await self._enqueue(_Entry(stream_id, Scope.STANDBY_AND_REGION, name), now)
+
     async def wait_flushed(self) -> None:
         """Wait until the queued streams have been handed to the links.
 
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -325,6 +325,9 @@
             env.network,
             env.log,
         )
+        self._stream_versions = StreamVersions(
+            self._routing_state, self.stream_origins, env.clock, env.log
+        )
         self._coordinated_placement = CoordinatedPlacement(
             self.placement,
             self._routing_state,
@@ -345,9 +348,7 @@
                 cfg.retries.extra,
                 cfg.retries.window.total_seconds(),
             ),
-            StreamVersions(
-                self._routing_state, self.stream_origins, env.clock, env.log
-            ),
+            self._stream_versions,
         )
 
     def _build_servers(self) -> None:
@@ -538,6 +539,7 @@
         self._routing_state.health.retain(names)
         listed = {name: self.fleet.get(name).started_at_ms for name in names}
         self._routing_state.statements.retain(listed)
+        await self._stream_versions.replicas_changed()
         await self._route_links.notify_change()
 
     async def _on_store_restored(self) -> None:
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -97,7 +97,9 @@
             return
         self.reserved.add(name)
         boot = self._boots[name]
-        boot = boot._replace(version=step.version, born=boot.born + 1)
+        started_at_ms = int(self._clock.now().timestamp() * 1000)
+        born = max(boot.born + 1, started_at_ms)
+        boot = boot._replace(version=step.version, born=born)
         await self._boot(name, boot)
         self.reserved.discard(name)
 
--- a/tests/support/routes.py
+++ b/tests/support/routes.py
@@ -154,6 +154,10 @@
         )
         return RouteHost(cfg, env)
 
+    def now_ms(self):
+        """Return the Unix milliseconds, by which replicas name their starts."""
+        return int(self.clock.now().timestamp() * 1000)
+
     async def register_replica(self, replica, service="desk", **fields):
         """Write the entry of a replica into the store."""
         value = json.dumps(replica.store_entry(service, **fields)).encode()
