Take answers without a length for cut if their replica has ended

A replica that is killed while it sends an answer without a length ends its connections cleanly. The host asked at that moment whether the replica takes connections, for the evidence of crashes, and dropped the result.

If it takes none, the answer was cut: an order gets 502, a read is repeated, a stream resumed or broken off, also through a host of another region. Replicas that leave may end after their last answer, and are left out until the time of one that is reclaimed has run out.

--- a/sassafraskeel/calls/placement.py
+++ b/sassafraskeel/calls/placement.py
@@ -97,8 +97,14 @@
     """The slot of one attempt, which is released once however the attempt ends."""
 
     def __init__(
-        self, placement: Placement, target: Target, call: Call, has_ended: HasEnded
+        self,
+        placement: Placement,
+        target: Target,
+        call: Call,
+        has_ended: HasEnded,
+        may_exit: Callable[[Replica], bool],
     ):
+        self._may_exit = may_exit
         self._placement = placement
         self._target = target
         self._call = call
@@ -136,9 +142,22 @@
 
         It is no failure of the call if the replica survived the call before.
         """
-        if self._survived or not await self._has_ended(self._target.upstream):
+        return not self._survived and await self._replica_ended()
+
+    async def answer_cut(self) -> bool:
+        """Return whether the replica ended with an answer that has no length.
+
+        The connections of a process that is killed end as that of a whole answer does,
+        but it takes no new ones. A replica that leaves ends after its last answer.
+        """
+        if self._may_exit(self._target.upstream):
+            return False
+        return await self._replica_ended()
+
+    async def _replica_ended(self) -> bool:
+        if not await self._has_ended(self._target.upstream):
             return False
-        if not self._lost:
+        if not self._survived and not self._lost:
             self._lost = True
             await self._placement.attempt_failed(self._target, AttemptFailure.LOST)
         return True
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -19,6 +19,7 @@
     Outcome,
     Reason,
     Refusal,
+    UpstreamLost,
     not_run_refusal,
     unknown_outcome_refusal,
 )
@@ -51,6 +52,8 @@
 MIN_STALL_TIMEOUT_SECONDS = 1.6
 STALL_TIMEOUT_FACTOR = 3.0
 MAX_STALL_SHARE = 0.5
+# The platform and the host measure the time that is left of a replica separately.
+RECLAIM_MARGIN_SECONDS = 0.5
 # Refusals of hosts that have sent the call to no replica.
 UNSENT_REASONS = (Reason.DRAINING, Reason.PEER_UNREACHABLE)
 MIN_FAILURE_STATUS = 500
@@ -219,7 +222,9 @@
     ) -> Answer:
         self._log_attempt(call, target, history)
         has_ended = self._senders.replicas.has_ended
-        attempt = PlacedAttempt(self._placement, target, call, has_ended)
+        attempt = PlacedAttempt(
+            self._placement, target, call, has_ended, self._may_exit
+        )
         try:
             if target.host is not None:
                 return await self._attempt_on_host(target, call, body, history)
@@ -232,6 +237,18 @@
             await attempt.release()
             raise
 
+    def _may_exit(self, replica: Replica) -> bool:
+        """Return whether a replica leaves, and may end once it has no more calls.
+
+        One that is reclaimed at short notice ends whatever it runs.
+        """
+        now, state = self._clock.monotonic(), self._routing_state
+        known = state.fleet.get(replica.name)
+        if known is not None and known.terminates_at is not None:
+            return now < known.terminates_at - RECLAIM_MARGIN_SECONDS
+        is_listed = known is not None and not known.draining
+        return not is_listed or state.statements.is_leaving(replica)
+
     async def _attempt_on_replica(self, target, attempt, call, body, history) -> Answer:
         started = self._clock.monotonic()
         answer = await self._send(target, call, body, history)
@@ -342,8 +359,9 @@
         if not is_event_stream(answer.head) or answer.head.status >= 300:
             buffered = await buffer_answer(target.name, call, answer, version)
             await attempt.head_received()
-            if answer.is_close_delimited:
-                await attempt.connection_ended()
+            if answer.is_close_delimited and await attempt.answer_cut():
+                detail = f"{target.name} ended with its answer"
+                raise UpstreamLost(Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, detail)
             await release(True)
             return buffered
         if call.route_policy.resumable and not call.hops:
--- a/sassafraskeel/calls/stream_reports.py
+++ b/sassafraskeel/calls/stream_reports.py
@@ -68,8 +68,8 @@
             raise
         if data:
             await self._report_data(data)
-        elif self._answer.is_close_delimited:
-            await self._report_end()
+        elif self._answer.is_close_delimited and await self._is_cut():
+            raise AnswerTruncated("the replica ended with its answer")
         return data
 
     async def stop(self) -> None:
@@ -96,9 +96,9 @@
         else:
             await self._attempt.connection_ended()
 
-    async def _report_end(self) -> None:
-        """Report the end of a connection that may be the end of a stream."""
-        if self._needs_event:
-            await self._report_lost_connection()
-        else:
-            await self._attempt.connection_ended()
+    async def _is_cut(self) -> bool:
+        """Return whether the end of a connection is not the end of its stream."""
+        if self._needs_event and self._began_at is None:
+            await self._attempt.failed(AttemptFailure.LOST)
+            return False  # For its reader, a stream without an event is cut anyway.
+        return await self._attempt.answer_cut()
