Part the building of a stream from the receiving of an answer

The streams of a restarted replica were removed one by one from the list of recent ones, up to 8,192 steps for each of as many; the list is built anew now.

--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -364,6 +364,13 @@
                 raise UpstreamLost(Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, detail)
             await release(True)
             return buffered
+        stream = self._build_stream(target, attempt, call, body, answer, history)
+        return ReleasingAnswer(stream, (), release, version)
+
+    def _build_stream(
+        self, target, attempt: PlacedAttempt, call, body, answer, history
+    ) -> EventStream:
+        """Return the events of a replica's answer, resumed elsewhere if it breaks."""
         if call.route_policy.resumable and not call.hops:
             answer.stall_timeout = _stall_timeout(call.route_policy)
         # Only the host that received the call from its caller resumes, so that
@@ -376,22 +383,17 @@
         # ends with its connection and has no event was cut.
         needs_event = answer.is_close_delimited and not call.resume_after
         reporter = StreamReporter(answer, attempt, needs_event, self._clock)
-        stream = EventStream(
+        version = target.upstream.software_version
+        events_begin = self._versions.events_begin
+        return EventStream(
             reporter,
             self._clock,
             resume,
             may_resume,
             reporter,
             needs_event=needs_event,
-            on_events_begin=partial(
-                self._versions.events_begin,
-                call,
-                target,
-                target.upstream.software_version,
-                history,
-            ),
+            on_events_begin=partial(events_begin, call, target, version, history),
         )
-        return ReleasingAnswer(stream, (), release, version)
 
     def _head_timeout(self, target: Target, call: Call) -> float:
         if call.kind is CallKind.MODEL:
--- a/sassafraskeel/calls/stream_versions.py
+++ b/sassafraskeel/calls/stream_versions.py
@@ -175,7 +175,7 @@
         now, wall_time = self._clock.monotonic(), self._clock.now().timestamp()
         for change in self._state.fleet.take_version_changes():
             region = self._state.fleet.region_of(change.former.zone)
-            streams = self._recent.take_misjudged(change, region, now, wall_time)
+            streams = self._recent.pop_of_new_run(change, region, now, wall_time)
             for stream in streams:
                 call, history = stream.key
                 history.stream_version = ""
--- a/sassafraskeel/decisions/recent_streams.py
+++ b/sassafraskeel/decisions/recent_streams.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from sassafraskeel.decisions.fleet import VersionChange
+from sassafraskeel.decisions.fleet import Replica, VersionChange
 
 # The entry of a run that has begun is late by a heartbeat of the replica, and by as
 # long as the store is away.
@@ -44,25 +44,31 @@
             self._streams.popleft()
         self._streams.append(stream)
 
-    def take_misjudged(
+    def pop_of_new_run(
         self, change: VersionChange, region: str, now: float, wall_time: float
     ) -> list[RecentStream]:
-        """Return, and forget, the streams that may have begun at the new run.
+        """Remove and return the streams that may have begun at the new run.
 
         `region` is that of the replica, and `wall_time` the Unix time in seconds.
         """
         age = wall_time - change.started_at_ms / 1000
         since = now - age - CLOCK_MARGIN_SECONDS
-        former = change.former
-        found = [
-            stream
-            for stream in self._streams
-            if stream.began_at >= since
-            and (stream.service, stream.version)
-            == (former.service, former.software_version)
-            and (stream.replica == former.name or not stream.replica)
-            and stream.region == region
-        ]
-        for stream in found:
-            self._streams.remove(stream)
+        found, kept = [], []
+        for stream in self._streams:
+            is_new = stream.began_at >= since and stream.region == region
+            if is_new and _is_of_run(stream, change.former):
+                found.append(stream)
+            else:
+                kept.append(stream)
+        if found:
+            self._streams = deque(kept, maxlen=MAX_STREAMS)
         return found
+
+
+def _is_of_run(stream: RecentStream, replica: Replica) -> bool:
+    """Return whether a stream counts as one of a replica, or may be a forwarded one."""
+    return (
+        stream.service == replica.service
+        and stream.version == replica.software_version
+        and stream.replica in ("", replica.name)
+    )
