Keep a host running when it can't read its settings again

An unexpected error while SIGHUP was handled ended the task that waits for signals, and a host whose task has ended takes that for a request to stop: it drained and exited with status 0. That came with the wait for signals beside the start; before, the error ended the process with a traceback.

The task is started again after a failure, which is logged (103).

tests.test_process_ends.SignalTest.test_error_while_reading_settings failed before.

--- a/sassafraskeel/platform/daemon.py
+++ b/sassafraskeel/platform/daemon.py
@@ -79,7 +79,9 @@
     )
     async with signals:
         # The task goes on until it is asked for: a signal is received only once.
-        stopping = await group.spawn(_wait_for_stop, host, path, signals)
+        stopping = await group.spawn_service(
+            host.clock, _wait_for_stop, host, path, signals
+        )
         start = host.start
         try:
             if await run_until_first(start, stopping.wait) is not start:
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -49,6 +49,13 @@
 import atexit
 atexit.register(pause, "exit")
 """
+FAILING_RELOAD = """
+@after("sassafraskeel.platform.daemon")
+def fail(module):
+    def report(host, path):
+        raise ZeroDivisionError("no reason")
+    module._report_changed_settings = report
+"""
 
 
 class FailureLineTest(TestCase):
@@ -210,6 +217,18 @@
                 program.let_pass("exit")
                 self.assertEqual(program.wait(), 0)
 
+    def test_error_while_reading_settings(self):
+        """Guards against a host that stops as it can't read its settings again."""
+        with HostProgram(FAILING_RELOAD) as program:
+            program.start()
+            program.wait_event(101)
+            program.send_signal(signal.SIGHUP)
+            program.wait_event(103)
+            program.send_signal(signal.SIGHUP)
+            program.wait_for(lambda: len(program.events(103)) == 2)
+            self.assertEqual(program.events(104), [])
+            self.assertEqual(program.stop(), 0)
+
 
 class StandardStreamTest(TestCase):
     """Standard streams that are closed, broken, or read by nobody."""
