Check in the soak that no host ends by itself

The soak did not notice a host whose process ended, or failed, by itself: it left such a host out of later faults, and looked at no exit status.

A check reports ends that the run did not ask for, a status after SIGTERM other than 0, and hosts whose logs have event 111 or a traceback.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -161,6 +161,11 @@
     return record.stale_directory_entries
 
 
+def check_processes(record: Record) -> list[str]:
+    """Return the hosts whose processes ended by themselves, or failed."""
+    return record.process_faults
+
+
 def check_limits(record: Record) -> list[str]:
     """Return the periods in which replicas got more than the limits that they named."""
     problems = []
@@ -189,6 +194,7 @@
     check_drained,
     check_recovery,
     check_directory,
+    check_processes,
     check_limits,
     check_versions,
     check_taken_up,
--- a/soak/record.py
+++ b/soak/record.py
@@ -86,7 +86,8 @@
     `drained` holds the periods in which a replica must get no new calls, `paused` those
     in which the process of a host, a replica or the store was stopped by SIGSTOP,
     `link_faults` those in which connections to a replica or the store had a fault, and
-    `down` those in which a host was stopping, gone or starting.
+    `down` those in which a host was stopping, gone or starting. `process_faults` names
+    the hosts that ended by themselves.
     """
 
     outcomes: list[Outcome]
@@ -100,3 +101,4 @@
     link_faults: list[Span] = []
     down: list[Span] = []
     serving: list[ServingSpan] = []
+    process_faults: list[str] = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 from soak.callers import STREAM_EVENTS, Caller
 from soak.checks import DRAIN_SECONDS, EVACUATE_SECONDS, find_problems
 from soak.plan import Step, Targets, make_plan
+from soak.processes import ProcessWatch
 from soak.proxy import NO_FAULT, Fault, Proxy
 from soak.record import LimitedSpan, Record, Span
 from soak.replicas import SoakReplicas
@@ -71,6 +72,7 @@
         self._replicas = SoakReplicas(
             cluster.replicas, self._proxy_addresses, self._requests, self._store
         )
+        self._processes = ProcessWatch(cluster)
         self._down_since: dict[str, float] = {}
         self._down_spans: list[Span] = []
         self._drained_spans: list[Span] = []
@@ -171,6 +173,7 @@
             self._link_faults,
             self._down_spans,
             self._replicas.serving_spans(),
+            self._processes.faults(),
         )
 
     async def _apply(self, step: Step) -> None:
@@ -212,6 +215,8 @@
         process.send_signal(signal_number)
         while process.poll() is None:
             await self._clock.sleep(0.05)
+        if signal_number == signal.SIGTERM:
+            self._processes.stopped(step.target, process.poll())
         self._down_since[step.target] = self._clock.monotonic()
         await self._clock.sleep(step.duration)
         host = next(h for h in self._cluster.hosts if h.name == step.target)
@@ -268,9 +273,14 @@
     async def _watch_directory(self) -> None:
         while True:
             await self._clock.sleep(DIRECTORY_POLL_SECONDS)
-            for host in self._cluster.hosts:
-                if host.name not in self._down_since:
-                    await self._check_directory(host)
+            running = [
+                host
+                for host in self._cluster.hosts
+                if host.name not in self._down_since
+            ]
+            self._processes.check_running(host.name for host in running)
+            for host in running:
+                await self._check_directory(host)
 
     async def _check_directory(self, host) -> None:
         path = f"/api/resolve?name=app.example&region={host.zone}&zone={host.zone}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from soak.checks import find_problems
 from soak.plan import Targets, make_plan
+from soak.processes import ProcessWatch
 from soak.record import (
     LimitedSpan,
     Outcome,
@@ -16,6 +17,7 @@
     Writer,
 )
 from soak.run import VERSIONS, RunSize, SoakRun
+from tools.route_cluster import HostProcess
 
 TARGETS = Targets(["h-0", "h-1"], ["r-0", "r-1"], ["z-0"])
 ALL_EVENTS = (1, 2, 3)
@@ -61,6 +63,24 @@
     )
 
 
+class FakeCluster:
+    """A cluster with one host, its exit status and its log."""
+
+    def __init__(self):
+        self.hosts = [HostProcess("h-0", "a", {})]
+        self.status, self.text = None, ""
+
+    @property
+    def processes(self):
+        return {"h-0": self}
+
+    def poll(self):
+        return self.status
+
+    def log(self, name):
+        return self.text
+
+
 class CheckTest(TestCase):
     def failed_checks(self, *args, **fields):
         return {text.split(":")[0] for text in find_problems(record(*args, **fields))}
@@ -95,6 +115,23 @@
             self.failed_checks(resumed, broken, refused, unknown, runs=runs), set()
         )
 
+    def test_processes(self):
+        """Guards against hosts that end, or fail, without a finding."""
+        cluster = FakeCluster()
+        watch = ProcessWatch(cluster)
+        watch.check_running(["h-0"])
+        watch.stopped("h-0", 0)
+        self.assertEqual(watch.faults(), [])
+        cluster.text = '{"host": "h-0", "number": 111, "level": "error"}'
+        self.assertEqual(len(watch.faults()), 1)
+        cluster.text, cluster.status = "", -6
+        watch.check_running(["h-0"])
+        watch.stopped("h-0", 1)
+        self.assertEqual(len(watch.faults()), 2)
+        found = record()._replace(process_faults=watch.faults())
+        failed = {text.split(":")[0] for text in find_problems(found)}
+        self.assertEqual(failed, {"check_processes"})
+
     def test_limit_exceeded(self):
         """Guards against a replica over its limit that is not reported."""
         kept = [10.0 + number / 2 for number in range(40)]
