--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from sassafraskeel.calls.answers import ReleasingAnswer, buffer_answer
+from sassafraskeel.calls.attempt_log import AttemptLog
 from sassafraskeel.calls.attempts import AttemptHistory, Target, run_attempts
 from sassafraskeel.calls.crash_guard import FeatureHasher
 from sassafraskeel.calls.event_streams import EventStream, is_event_stream
@@ -23,7 +24,6 @@
     not_run_refusal,
     unknown_outcome_refusal,
 )
-from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.types import (
     Answer,
@@ -117,13 +117,13 @@
         versions: StreamVersions,
     ):
         self._clock = clock
-        self._log = log
         self._routing_state = routing_state
         self._placement = placement
         self._senders = senders
         self._hasher = hasher
         self._budget = budget
         self._versions = versions
+        self._attempt_log = AttemptLog(clock, log, routing_state)
         self._resumer = StreamResumer(self, versions, clock, log, routing_state.hosts)
 
     def check(self, call: Call) -> None:
@@ -220,7 +220,7 @@
     async def send_attempt(
         self, target: Target, call: Call, body: bytes, history: AttemptHistory
     ) -> Answer:
-        self._log_attempt(call, target, history)
+        self._attempt_log.sent(call, target, history)
         has_ended = self._senders.replicas.has_ended
         attempt = PlacedAttempt(
             self._placement, target, call, has_ended, self._may_exit
@@ -233,7 +233,7 @@
             if isinstance(exc, Refusal):
                 await self._record_refusal(target, call, exc, history)
                 await self._record_failure(target, attempt, exc)
-                self._log_failed_attempt(call, target, exc, history)
+                self._attempt_log.failed(call, target, exc, history)
             await attempt.release()
             raise
 
@@ -487,42 +487,6 @@
         if failure is not None:
             await attempt.failed(failure)
 
-    def _log_attempt(self, call: Call, target: Target, history: AttemptHistory) -> None:
-        now = self._clock.monotonic()
-        self._log.emit(
-            Event.CALL_SENT,
-            call=call.call_id,
-            route=call.route_policy.route,
-            manifest=call.route_policy.version,
-            to=target.name,
-            version=target.logged_version,
-            resumes=call.resumes,
-            sends=history.attempts,
-            predicted_ms=round(target.predicted_seconds * 1000),
-            prompt_tokens=target.prompt_tokens,
-            requests=target.requests,
-            limit=target.upstream
-            and self._routing_state.statements.rate(target.upstream),
-            passed_over=self._routing_state.passed_over(call.service, now),
-            coordinator=target.grant.coordinator if target.grant else "",
-            store_age_ms=self._routing_state.hosts.store_age_ms(now),
-            left_ms=round((call.expires - now) * 1000),
-        )
-
-    def _log_failed_attempt(self, call, target, refusal, history) -> None:
-        self._log.emit(
-            Event.ATTEMPT_FAILED,
-            call=call.call_id,
-            route=call.route_policy.route,
-            manifest=call.route_policy.version,
-            to=target.name,
-            outcome=refusal.outcome.value,
-            reason=refusal.reason.value,
-            detail=refusal.detail,
-            sends=history.attempts,
-            predicted_ms=round(target.predicted_seconds * 1000),
-        )
-
 
 def _stall_timeout(policy: RoutePolicy) -> float:
     """Return the seconds without an event after which a stream stalls."""
