Wait for replicas at the start of a cluster of processes

RouteCluster waited until its hosts were ready, which does not need replicas, and not until the replicas listened; under load a replica starts later. What the test checks is unchanged.

--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -167,6 +167,8 @@
             self.write(f"servers/{replica.name}", replica_entry(replica))
         for host in self.hosts:
             self.start_host(host)
+        for replica in self.replicas:
+            self._wait(replica.name, lambda replica=replica: _is_listening(replica))
         for host in self.hosts:
             self.wait_ready(host)
         return self
@@ -293,6 +295,10 @@
             time.sleep(0.05)
 
 
+def _is_listening(replica: ReplicaProcess) -> bool:
+    return fetch(replica.address, "GET", LEDGER_PATH).status == 200
+
+
 def replica_entry(
     replica: ReplicaProcess, state: str = "ready", boot: Boot | None = None
 ) -> bytes:
