--- a/sassafraskeel/decisions/routes.py
+++ b/sassafraskeel/decisions/routes.py
@@ -142,9 +142,9 @@
                 changed_at[key] = former._changed_at[key]
         for host, prefix in known:
             # The requests of a route that is gone may match a shorter prefix.
-            heir = self.match(host, prefix)
-            if heir is not None:
-                changed_at[heir.host, heir.prefix] = now
+            fallback = self.match(host, prefix)
+            if fallback is not None:
+                changed_at[fallback.host, fallback.prefix] = now
 
     def home_regions(self, host: str) -> frozenset[str]:
         """Return the regions that are home to the most routes of a host name."""
--- a/tests/test_split_streams.py
+++ b/tests/test_split_streams.py
@@ -136,6 +136,21 @@
         await install(world, 3, ("lab", 1), ("desk", 0))
         self.check_refused(callers, await callers.take_up(1, 2, 0))
 
+    @with_routes(world_options=WORLD)
+    async def test_host_with_another_manifest(self, world):
+        """Guards against a host that is a manifest behind the one that began a stream,
+        or ahead of it, and uses a service that its own manifest does not allow.
+        """
+        callers = await self.begin(world, ("desk", 100))
+        older = world.hosts[1].fleet.table
+        await install(world, 3, ("lab", 100))
+        self.check_refused(callers, await callers.take_up(2))
+        new = StreamCallers(world)
+        new.numbers = range(100, 100 + STREAM_COUNT)
+        await new.begin(0)
+        world.hosts[1].fleet.table = older
+        self.check_refused(new, await new.take_up(1, prefix="u"), prefix="u")
+
     @with_routes(world_options=WORLD)
     async def test_new_streams(self, world):
         """Guards against new streams that don't follow the weights."""
