--- a/sassafraskeel/emulators/__main__.py
+++ b/sassafraskeel/emulators/__main__.py
@@ -103,6 +103,7 @@
     zone: str
     delay_ms: Annotated[float, cappa.Arg(long=True)] = 20.0
     version: Annotated[str | None, cappa.Arg(long="software-version")] = None
+    answer_bytes: Annotated[int, cappa.Arg(long=True)] = 0
 
     def __call__(self):
         address = parse_address(self.listen)
@@ -111,6 +112,7 @@
         )
         server.delay = self.delay_ms / 1000
         server.version = self.version or ""
+        server.answer_bytes = self.answer_bytes
         curio.run(run_until_stopped, server)
 
 
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -31,6 +31,8 @@
 # Time between a part of an answer and the crash of a replica.
 CRASH_DELAY_SECONDS = 0.005
 BOOT_SECONDS = 0.2
+# The plain answers below this path are long.
+LONG_PATH = "/read/long"
 
 
 class Boot(NamedTuple):
@@ -88,7 +90,8 @@
     Retry-After, and health checks are refused too while `refuse` is not 0.
     `copy_refusals` counts the next refusals of which a copy comes where the next answer
     on their connection is due, without the request id if `copies_have_id` is False.
-    `random_refusals` adds refusals and copies at random.
+    `random_refusals` adds refusals and copies at random. Plain answers below LONG_PATH
+    have `answer_bytes` more than others.
     `name` is the instance id of the replica; requests that expect another instance are
     answered with 421. `version` is the version of its software in its entry.
     """
@@ -123,6 +126,7 @@
         self.copy_refusals = 0
         self.copies_have_id = True
         self.random_refusals = RandomRefusals()
+        self.answer_bytes = 0
         self._rng = random.Random(name)
         self.arrivals = 0
         self.arrival_times: list[float] = []
@@ -258,7 +262,10 @@
         if crashes and not is_stream:
             return Reply(200, self._broken_body(), headers)
         if not is_stream:
-            return json_reply({"path": request.path}, 200, headers)
+            content = {"path": request.path}
+            if request.path.startswith(LONG_PATH):
+                content["filler"] = "f" * self.answer_bytes
+            return json_reply(content, 200, headers)
         content_type = (b"content-type", b"text/event-stream")
         stream = self._stream(number, int(last_event_id or 0), crashes)
         return Reply(200, stream, (*headers, content_type))
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -90,11 +90,17 @@
 
 
 def call(
-    host: HostProcess, path, method="GET", call_id="c", deadline_ms=5000, headers=None
+    host: HostProcess,
+    path,
+    method="GET",
+    call_id="c",
+    deadline_ms=5000,
+    headers=None,
+    body=None,
 ):
     """Send a call with an id and a deadline to a host and return the answer."""
     headers = _call_headers(call_id, deadline_ms) | (headers or {})
-    return fetch(host.listen["callers"], method, path, headers)
+    return fetch(host.listen["callers"], method, path, headers, body)
 
 
 def begin_stream(host: HostProcess, path, call_id="c", deadline_ms=5000) -> int:
@@ -125,7 +131,11 @@
 
     `zones` gives the numbers of hosts and replicas of each zone. Each zone is a
     separate region. `delay_ms` is how long replicas take for an answer, and for each
-    event of a stream. The replicas have the software `versions` in turn.
+    event of a stream. The replicas have the software `versions` in turn. `settings` are
+    further sections of the settings of hosts, `limits` those of the manifest, and
+    `engine` is the one of its service.
+    The answers of replicas to calls below emulators.replica.LONG_PATH have
+    `answer_bytes` more than others.
     """
 
     def __init__(
@@ -133,6 +143,10 @@
         zones: dict[str, tuple[int, int]],
         delay_ms: float = 20.0,
         versions: tuple[str, ...] = ("v1",),
+        settings: str = "",
+        limits: dict[str, int] | None = None,
+        engine: dict[str, int] | None = None,
+        answer_bytes: int = 0,
     ):
         self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
         self.folder = Path(self._folder.name)
@@ -145,6 +159,10 @@
         self.replicas: list[ReplicaProcess] = []
         self._zones = zones
         self._delay_ms = delay_ms
+        self._settings = settings
+        self._limits = limits or {}
+        self._engine = engine
+        self._answer_bytes = answer_bytes
         versions_in_turn = itertools.cycle(versions)
         for zone, (hosts, replicas) in zones.items():
             for number in range(hosts):
@@ -191,6 +209,7 @@
             replica.name,
             replica.zone,
             f"--delay-ms={self._delay_ms:g}",
+            f"--answer-bytes={self._answer_bytes}",
             *version,
         )
 
@@ -214,7 +233,7 @@
             store=self.store_addresses.get(host.name, self.store),
             **host.listen,
         )
-        text += "".join(f"{zone} = {zone}\n" for zone in self._zones)
+        text += "".join(f"{zone} = {zone}\n" for zone in self._zones) + self._settings
         path = self.folder / f"{host.name}.ini"
         path.write_text(text, encoding="utf-8")
         self._start(host.name, "sassafraskeel.platform", str(path))
@@ -248,7 +267,10 @@
         content = {
             "version": version,
             "routes": [defaults | route for route in ROUTES],
-            "services": [{"name": "desk", "healthPath": "/healthz"}],
+            "services": [
+                {"name": "desk", "healthPath": "/healthz", "engine": self._engine}
+            ],
+            "limits": self._limits,
         }
         return json.dumps(content).encode()
 
