Bound what the kernel buffers for a connection

What callers saw: bytes that a host doesn't read, because it refuses, lingers or waits, stayed in the kernel's receive buffer of each connection, which grows by itself to megabytes, and counts as memory of the host. 190 unfinished chunked bodies of 400 KB took 22 MB, 190 bodies without end 104 and 191 MB.

Cause: no socket had a size of its own, so that Linux tuned both buffers.

Change: listeners ask for 16 KB to receive and 64 KB to send, before a connection exists, since the window of one that exists can't be taken back. Links between hosts and to the store ask for 192 KB, those to replicas for 32 KB: a caller that doesn't read its answer leaves these full.

Callers are about 1 ms away.

--- a/bench/control.py
+++ b/bench/control.py
@@ -100,11 +100,11 @@
         self._platform = platform
         self.bytes = 0
 
-    async def connect(self, address):
+    async def connect(self, address, buffers=None):
         stream = await self._inner.connect(address)
         return stream if address == self._platform else CountingStream(stream, self)
 
-    async def listen(self, address):
+    async def listen(self, address, buffers=None):
         return CountingListener(await self._inner.listen(address), self)
 
 
--- a/bench/stream_origins.py
+++ b/bench/stream_origins.py
@@ -87,10 +87,10 @@
         self._inner = inner
         self.sent = self.received = self.writes = 0
 
-    async def connect(self, address):
+    async def connect(self, address, buffers=None):
         return CountingStream(await self._inner.connect(address), self)
 
-    async def listen(self, address):
+    async def listen(self, address, buffers=None):
         return CountingListener(await self._inner.listen(address), self)
 
 
--- a/sassafraskeel/core/accepting.py
+++ b/sassafraskeel/core/accepting.py
@@ -4,7 +4,14 @@
 from sassafraskeel.core.errors import AcceptFailed, AddressUnavailable, ConnectionLost
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
-from sassafraskeel.core.net import Address, Listener, Network, Stream
+from sassafraskeel.core.net import (
+    CLIENT_BUFFERS,
+    Address,
+    BufferSizes,
+    Listener,
+    Network,
+    Stream,
+)
 
 # Without a free descriptor, each attempt fails at once.
 ACCEPT_RETRY_SECONDS = 0.1
@@ -16,7 +23,11 @@
 
 
 async def listen_when_free(
-    network: Network, address: Address, clock: Clock, log: LogSink
+    network: Network,
+    address: Address,
+    clock: Clock,
+    log: LogSink,
+    buffers: BufferSizes = CLIENT_BUFFERS,
 ) -> Listener:
     """Listen on an address, and wait for LISTEN_WAIT_SECONDS if it is not free.
 
@@ -26,7 +37,7 @@
     is_logged = False
     while True:
         try:
-            return await network.listen(address)
+            return await network.listen(address, buffers=buffers)
         except AddressUnavailable as exc:
             if clock.monotonic() >= give_up_at:
                 raise
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -17,7 +17,13 @@
     request_events,
     strip_hop_by_hop,
 )
-from sassafraskeel.core.net import Address, Network, wait_for_close
+from sassafraskeel.core.net import (
+    LINK_BUFFERS,
+    Address,
+    BufferSizes,
+    Network,
+    wait_for_close,
+)
 from sassafraskeel.core.types import Headers, ResponseHead
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d{1,9})")
@@ -169,9 +175,15 @@
             )
 
 
-async def connect(network: Network, address: Address, clock: Clock) -> ClientConnection:
+async def connect(
+    network: Network,
+    address: Address,
+    clock: Clock,
+    buffers: BufferSizes = LINK_BUFFERS,
+) -> ClientConnection:
     """Open a client connection; raise ConnectionLost."""
-    return ClientConnection(address, await network.connect(address), clock)
+    stream = await network.connect(address, buffers=buffers)
+    return ClientConnection(address, stream, clock)
 
 
 async def request_once(
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, Protocol
 
 import curio
-from curio import network, socket, ssl as curio_ssl, traps
+from curio import socket, ssl as curio_ssl, traps
 
 from sassafraskeel.core.clock import Clock, SystemClock
 from sassafraskeel.core.errors import (
@@ -29,6 +29,26 @@
 DROP_PAUSE_SECONDS = 0.001
 LISTEN_BACKLOG = 1024
 
+
+class BufferSizes(NamedTuple):
+    """The bytes that the kernel is asked to buffer for a connection.
+
+    Linux takes twice as much, for its own overhead. Without a size it lets the buffer
+    of a connection whose bytes nobody reads grow to megabytes.
+    """
+
+    receive: int
+    send: int
+
+
+# What has arrived counts as memory of the host, and any client may open a connection to
+# a listener. Bodies of some tens of KB still arrive in a few round trips.
+CLIENT_BUFFERS = BufferSizes(16 * 1024, 64 * 1024)
+# Replicas are near, and callers that don't read their answers leave these ones full.
+UPSTREAM_BUFFERS = BufferSizes(32 * 1024, 64 * 1024)
+# Between regions, a round trip of 160 ms carries no more than the buffer.
+LINK_BUFFERS = BufferSizes(192 * 1024, 192 * 1024)
+
 # A peer that disappears without a reset is detected after five seconds: two seconds
 # idle, then three probes one second apart.
 KEEP_ALIVE_OPTIONS = (
@@ -128,10 +148,14 @@
 class Network(Protocol):
     """Opens and accepts connections."""
 
-    async def connect(self, address: Address) -> Stream:
+    async def connect(
+        self, address: Address, buffers: BufferSizes = LINK_BUFFERS
+    ) -> Stream:
         """Open a connection; raise ConnectionLost."""
 
-    async def listen(self, address: Address) -> Listener:
+    async def listen(
+        self, address: Address, buffers: BufferSizes = CLIENT_BUFFERS
+    ) -> Listener:
         """Listen on an address; port 0 selects a free port.
 
         Raises AddressUnavailable if it may be free later, and UserError.
@@ -286,30 +310,55 @@
         self._server_context = server_context
         self._client_context = client_context
 
-    async def connect(self, address: Address) -> Stream:
-        options = {}
-        if self._client_context is not None:
-            options["ssl"] = curio_ssl.CurioSSLContext(self._client_context)
-            options["server_hostname"] = address.ip
+    async def connect(
+        self, address: Address, buffers: BufferSizes = LINK_BUFFERS
+    ) -> Stream:
+        sock = socket.socket(_family(address), socket.SOCK_STREAM)
         try:
-            sock = await network.open_connection(address.ip, address.port, **options)
-        except OSError as exc:
+            _set_buffers(sock, buffers)
+            await sock.connect(address)
+            if self._client_context is not None:
+                context = curio_ssl.CurioSSLContext(self._client_context)
+                sock = await context.wrap_socket(
+                    sock, server_hostname=address.ip, do_handshake_on_connect=False
+                )
+                await sock.do_handshake()
+        except BaseException as exc:
+            await _close_socket(sock)
+            if not isinstance(exc, OSError):
+                raise
             raise ConnectionLost(f"{address}: {exc}") from exc
         _set_options(sock)
         return TcpStream(sock, self._turns, f"server {address}")
 
-    async def listen(self, address: Address) -> Listener:
+    async def listen(
+        self, address: Address, buffers: BufferSizes = CLIENT_BUFFERS
+    ) -> Listener:
+        sock = socket.socket(_family(address), socket.SOCK_STREAM)
         try:
-            sock = network.tcp_server_socket(
-                address.ip, address.port, backlog=LISTEN_BACKLOG
-            )
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # Accepted sockets inherit the sizes. Those of a connection that exists
+            # change too late for the window that it has announced.
+            _set_buffers(sock, buffers)
+            sock.bind(address)
+            sock.listen(LISTEN_BACKLOG)
         except OSError as exc:
+            sock._socket.close()
             is_unavailable = exc.errno in (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
             error = AddressUnavailable if is_unavailable else UserError
             raise error(f"cannot listen on {address}: {exc}") from exc
         return TcpListener(sock, self._server_context, self._turns)
 
 
+def _family(address: Address):
+    return socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+
+
+def _set_buffers(sock, buffers: BufferSizes) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffers.receive)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffers.send)
+
+
 def _set_options(sock) -> None:
     for option in KEEP_ALIVE_OPTIONS:
         sock.setsockopt(*option)
--- a/sassafraskeel/emulators/network.py
+++ b/sassafraskeel/emulators/network.py
@@ -4,7 +4,16 @@
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import ConnectionLost
-from sassafraskeel.core.net import READ_SIZE_BYTES, Address, Listener, Network, Stream
+from sassafraskeel.core.net import (
+    CLIENT_BUFFERS,
+    LINK_BUFFERS,
+    READ_SIZE_BYTES,
+    Address,
+    BufferSizes,
+    Listener,
+    Network,
+    Stream,
+)
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 
 MAX_CHUNKS_IN_TRANSIT = 1024
@@ -47,22 +56,25 @@
         self._clock = clock
         self._wan = wan
 
-    async def connect(self, address: Address) -> Stream:
+    async def connect(
+        self, address: Address, buffers: BufferSizes = LINK_BUFFERS
+    ) -> Stream:
         site = self._wan.site_of(address)
         if not site:
-            return await self._inner.connect(address)
+            return await self._inner.connect(address, buffers)
         await self._clock.sleep(2 * self._wan.delay(site))
         if site in self._wan.cut_out or site in self._wan.cut_in:
             # SYN packets are lost; only a timeout set by the caller ends the wait.
             await curio.Event().wait()
-        stream = _WanStream(
-            await self._inner.connect(address), self._clock, self._wan, site
-        )
+        inner = await self._inner.connect(address, buffers)
+        stream = _WanStream(inner, self._clock, self._wan, site)
         await stream.start()
         return stream
 
-    async def listen(self, address: Address) -> Listener:
-        return await self._inner.listen(address)
+    async def listen(
+        self, address: Address, buffers: BufferSizes = CLIENT_BUFFERS
+    ) -> Listener:
+        return await self._inner.listen(address, buffers)
 
 
 class _WanStream:
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -22,7 +22,7 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.log import LogSink
-from sassafraskeel.core.net import Address, Network, Stream
+from sassafraskeel.core.net import LINK_BUFFERS, Address, Network, Stream
 from sassafraskeel.core.settings import GatewaySection
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.types import (
@@ -108,7 +108,7 @@
     async def listen(self):
         """Open the listener and return its address."""
         self._listener = await listen_when_free(
-            self._network, self._address, self._clock, self._log
+            self._network, self._address, self._clock, self._log, LINK_BUFFERS
         )
         return self._listener.address
 
--- a/sassafraskeel/upstreams/pool.py
+++ b/sassafraskeel/upstreams/pool.py
@@ -6,7 +6,7 @@
 
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.http_client import ClientConnection, connect
-from sassafraskeel.core.net import Address, Network
+from sassafraskeel.core.net import UPSTREAM_BUFFERS, Address, Network
 from sassafraskeel.core.settings import UpstreamSection
 
 # Part of the announced keep-alive time during which an idle connection is used. The
@@ -56,7 +56,7 @@
     async def open(self, address: Address) -> ClientConnection:
         """Return a new connection; raise ConnectionLost or TimedOut."""
         async with self._clock.timeout(self._cfg.connect_timeout.total_seconds()):
-            conn = await connect(self._network, address, self._clock)
+            conn = await connect(self._network, address, self._clock, UPSTREAM_BUFFERS)
         conn.number = next(self._numbers)
         return conn
 
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -229,7 +229,7 @@
         """Return the network as used by a node."""
         return NodeNetwork(self, node)
 
-    async def connect(self, address: Address, node: str = ""):
+    async def connect(self, address: Address, node: str = "", buffers=None):
         await self.faults.wait(node)
         listener = self.listeners.get(address)
         if listener is None:
@@ -240,7 +240,7 @@
         await listener.queue.put(right)
         return left
 
-    async def listen(self, address: Address, node: str = ""):
+    async def listen(self, address: Address, node: str = "", buffers=None):
         if address.port == 0:
             address = address._replace(port=next(self._ports))
         listener = self.listeners[address] = MemoryListener(self, address, node)
@@ -254,8 +254,8 @@
         self._network = network
         self._node = node
 
-    async def connect(self, address: Address):
+    async def connect(self, address: Address, buffers=None):
         return await self._network.connect(address, self._node)
 
-    async def listen(self, address: Address):
+    async def listen(self, address: Address, buffers=None):
         return await self._network.listen(address, self._node)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -30,7 +30,7 @@
         self._connections_until_pause = connections_until_pause
         self._seconds = seconds
 
-    async def connect(self, address):
+    async def connect(self, address, buffers=None):
         stream = await self._inner.connect(address)
         self._connections_until_pause -= 1
         if self._connections_until_pause == -1:
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -131,7 +131,7 @@
             network = MemoryNetwork()
             listen, failures = network.listen, itertools.count(1)
 
-            async def fail(address):
+            async def fail(address, buffers):
                 raise AddressUnavailable(f"{address}: {next(failures)}")
 
             network.listen = fail
--- a/tests/test_sheet_hosts.py
+++ b/tests/test_sheet_hosts.py
@@ -37,7 +37,7 @@
         super().__init__()
         self.received = defaultdict(list)
 
-    async def connect(self, address, node=""):
+    async def connect(self, address, node="", buffers=None):
         stream = await super().connect(address, node)
         for end in (stream, stream.peer):
             self._record(end)
