Read connections in parts of 8 KB

What callers saw: 190 bodies that go on without end, or stop short of their end, made a host grow by 10 to 15 MB in place of 10 allowed, though the kernel held no more than 4.6 MB for them.

Cause: a read allocates a buffer of 64 KB and cuts it down to what has arrived. What is kept of it stays at its start, and the next buffer of 64 KB doesn't fit into the gap beside it, so that each kept part cost up to 64 KB of the heap. A trace (tracemalloc) of one such crowd showed 1.6 MB in 176 kept parts of 9 KB, while the process had grown by 9 MB.

Change: reads are of 8 KB.

--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -20,7 +20,9 @@
 from sassafraskeel.core.log import NullLog
 from sassafraskeel.core.turns import TurnTimer
 
-READ_SIZE_BYTES = 65536
+# The buffer of a read is cut down to what has arrived, so that a larger one leaves a
+# gap in the memory of the process beside each part that is kept.
+READ_SIZE_BYTES = 8192
 # The longest write between two checks of whether the turn of the task is over.
 WRITE_SLICE_BYTES = 256 * 1024
 # What may be in transit when a peer is told to stop. After it each read is followed by
