Count the heads of requests in the memory that requests may hold

What callers saw: 190 heads of 32 KB without their end made a host grow by 11.6 MB in place of 10 allowed (61.6 MB at the peak, with the bounds on the kernel's buffers and on reads).

Cause: only bodies counted in the budget. A head of up to 32 KB was held twice, as it arrived and in its h11 connection, for as long as the request, whatever all others held.

Change: a connection has one count for its request: the head, twice, and the body. The first 16 KB of the count are free, as they were for a body. A head without room is refused with 503, not run, and read no further. Operators have a budget of their own. BodyBudget is now MemoryBudget, in core.held_memory.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -11,7 +11,6 @@
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.core.accepting import accept_next, listen_when_free
-from sassafraskeel.core.body_budget import BodyBudget
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -24,6 +23,7 @@
     unknown_outcome_refusal,
 )
 from sassafraskeel.core.events import Event
+from sassafraskeel.core.held_memory import MemoryBudget
 from sassafraskeel.core.http import HttpConnection, find_header, response_events
 from sassafraskeel.core.http_requests import (
     linger,
@@ -57,13 +57,14 @@
     dispatcher: CallDispatcher | None
     request_tracker: RequestTracker
     recorder: CallRecorder | None
-    bodies: BodyBudget
+    memory: MemoryBudget
 
 
 class CallerConnection:
     """A connection of a caller, with the method and id of its current request."""
 
-    def __init__(self, accepted: Stream, clock: Clock):
+    def __init__(self, accepted: Stream, clock: Clock, memory: MemoryBudget):
+        self.held = memory.hold()
         self.stream = WatchedStream(accepted)
         self.http = HttpConnection(self.stream, h11.SERVER, clock)
         self.method = b""
@@ -166,7 +167,7 @@
             await group.spawn(self._handle_connection, stream)
 
     async def _handle_connection(self, accepted: Stream) -> None:
-        conn = CallerConnection(accepted, self._clock)
+        conn = CallerConnection(accepted, self._clock, self._components.memory)
         self._tasks[conn] = await curio.current_task()
         try:
             if self._connection_count > self._max_connections:
@@ -192,6 +193,7 @@
             del self._tasks[conn]
             if conn.is_answer_close_delimited():
                 await conn.stream.reset()
+            conn.held.clear()
             await conn.http.close()
             await self._disconnected.set()
 
@@ -205,11 +207,14 @@
     async def _serve_request(self, conn: CallerConnection) -> bool:
         limits = self._interface.limits()
         conn.idle, conn.call_id = True, ""
+        conn.held.clear()
         if not await wait_for_request(conn.http, conn.stream, self._clock, limits.idle):
             return False
         conn.idle = False
         try:
-            request = await receive_request(conn.http, conn.stream, self._clock, limits)
+            request = await receive_request(
+                conn.http, conn.stream, self._clock, limits, conn.held
+            )
         except Refusal as refusal:
             await self._send_answer(
                 conn, self._interface.refusal_answer(refusal, None, "")
@@ -282,18 +287,12 @@
         call = record.call = interface.read_call(request, record.call_id, now)
         dispatcher.check(call)
         length = find_header(request.headers, b"content-length")
-        self._components.bodies.hold().check(int(length or 0))
+        conn.held.check(int(length or 0))
         if http.h11.they_are_waiting_for_100_continue:
             await http.send(h11.InformationalResponse(status_code=100, headers=[]))
-        with self._components.bodies.hold() as held:
-            body = await receive_body(
-                http,
-                self._clock,
-                interface.limits(),
-                interface.max_body_bytes(),
-                held.add,
-            )
-            await self._run_call(conn, record, body)
+        limits, max_bytes = interface.limits(), interface.max_body_bytes()
+        body = await receive_body(http, self._clock, limits, max_bytes, conn.held.add)
+        await self._run_call(conn, record, body)
 
     async def _run_call(self, conn, record: CallRecord, body: bytes) -> None:
         dispatcher = self._components.dispatcher
--- a/sassafraskeel/core/http_requests.py
+++ b/sassafraskeel/core/http_requests.py
@@ -20,6 +20,7 @@
     TimedOut,
     not_run_refusal,
 )
+from sassafraskeel.core.held_memory import HeldMemory
 from sassafraskeel.core.http import MAX_HEADER_BYTES, HttpConnection, find_header
 from sassafraskeel.core.net import drop_data
 from sassafraskeel.core.watched_stream import WatchedStream
@@ -27,6 +28,10 @@
 END_OF_HEAD = b"\r\n\r\n"
 BARE_LINE_END_PATTERN = re.compile(rb"\r[^\n]|(?<!\r)\n")
 FOLDED_LINE_PATTERN = re.compile(rb"\r\n[ \t]")
+# What is read beyond a head that is refused.
+HEAD_READ_BYTES = 4096
+# A head is held as it arrived and as the fields of its call.
+HEAD_COPIES = 2
 LINGER_SECONDS = 1.0
 MAX_LINGER_BYTES = 8 * 1024 * 1024
 HEADER_TOO_LARGE_STATUS = 431
@@ -54,15 +59,19 @@
 
 
 async def receive_request(
-    http: HttpConnection, stream: WatchedStream, clock: Clock, timeouts: RequestTimeouts
+    http: HttpConnection,
+    stream: WatchedStream,
+    clock: Clock,
+    timeouts: RequestTimeouts,
+    held: HeldMemory,
 ) -> h11.Request | None:
     """Return the request that the client has begun, or None if there is none.
 
-    Raise Refusal if the head is malformed, too long or too slow.
+    Raise Refusal if the head is malformed, too long or too slow, or has no room.
     """
     try:
         async with clock.timeout(timeouts.head):
-            await _wait_for_valid_head(http, stream)
+            await _wait_for_valid_head(http, stream, held)
             event = await http.next_event()
     except TimedOut as exc:
         raise not_run_refusal(
@@ -142,7 +151,7 @@
     return not_run_refusal(Reason.BAD_REQUEST, str(exc))
 
 
-async def _wait_for_valid_head(http, stream) -> None:
+async def _wait_for_valid_head(http, stream, held: HeldMemory) -> None:
     buffered = http.h11.trailing_data[0]
     scanned = 0
     while True:
@@ -160,9 +169,11 @@
         if FOLDED_LINE_PATTERN.search(data, start, length):
             raise not_run_refusal(Reason.BAD_REQUEST, "a header line is folded")
         if end >= 0:
+            held.add(HEAD_COPIES * (length - min(scanned, length)))
             return
+        held.add(HEAD_COPIES * (len(data) - scanned))
         scanned = len(data)
-        if not await stream.read_ahead():
+        if not await stream.read_ahead(HEAD_READ_BYTES):
             raise ConnectionLost("the connection closed within a head")
 
 
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -9,7 +9,6 @@
 from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.core.accepting import accept_next, listen_when_free
-from sassafraskeel.core.body_budget import BodyBudget, HeldBody
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     ConnectionLost,
@@ -20,6 +19,7 @@
     TimedOut,
 )
 from sassafraskeel.core.events import Event
+from sassafraskeel.core.held_memory import HeldMemory, MemoryBudget
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.net import LINK_BUFFERS, Address, Network, Stream
@@ -76,7 +76,7 @@
     request_tracker: RequestTracker
     recorder: CallRecorder
     requests: RequestHandler
-    bodies: BodyBudget
+    memory: MemoryBudget
     manifest: Callable[[], bytes] = bytes
     features: str = ""
 
@@ -193,7 +193,7 @@
         to_call = route_offer_to_call if has_body else offer_to_call
         record.call = to_call(offer, self._clock.monotonic())
         try:
-            with self._components.bodies.hold() as held:
+            with self._components.memory.hold() as held:
                 body = await self._read_body(channel, held) if has_body else None
                 await self._run_call(channel, stream, record, body, held)
         except Refusal as refusal:
@@ -207,12 +207,12 @@
         finally:
             self._components.recorder.finish(record)
 
-    async def _read_body(self, channel: Channel, held: HeldBody) -> bytes:
+    async def _read_body(self, channel: Channel, held: HeldMemory) -> bytes:
         async with self._clock.timeout(BODY_TIMEOUT_SECONDS):
             return await _receive_body(channel, held)
 
     async def _run_call(
-        self, channel, stream, record, body: bytes | None, held: HeldBody
+        self, channel, stream, record, body: bytes | None, held: HeldMemory
     ) -> None:
         self._components.request_tracker.check_peer()
         self._components.dispatcher.check(record.call)
@@ -266,7 +266,7 @@
             return None
 
 
-async def _receive_body(channel: Channel, held: HeldBody) -> bytes:
+async def _receive_body(channel: Channel, held: HeldMemory) -> bytes:
     """Return the body of a call; raise Refusal after its end if it has no room."""
     parts = []
     size = 0
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -15,9 +15,9 @@
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.calls.sheet_calls import SheetCalls, SheetSenders
 from sassafraskeel.calls.sheet_placement import SheetPlacement
-from sassafraskeel.core.body_budget import BodyBudget
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.events import Event
+from sassafraskeel.core.held_memory import MemoryBudget
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.metrics import Metrics
 from sassafraskeel.core.net import Address, Network
@@ -184,7 +184,7 @@
             self.installed, self.links, self._group, env.log
         )
         self._build_membership_updater()
-        bodies = BodyBudget(cfg.callers.max_held_bytes)
+        memory = MemoryBudget(cfg.callers.max_held_bytes)
         self._gateway_server = GatewayServer(
             cfg.gateways,
             env.clock,
@@ -195,7 +195,7 @@
                 self.request_tracker,
                 self._recorder,
                 self.links,
-                bodies,
+                memory,
             ),
             self._sheet_version,
         )
@@ -214,7 +214,7 @@
                 self.dispatcher,
                 self.request_tracker,
                 self._recorder,
-                bodies,
+                memory,
             ),
         )
         self._operator_server = OperatorServer(
--- a/sassafraskeel/operators/server.py
+++ b/sassafraskeel/operators/server.py
@@ -17,6 +17,7 @@
     not_run_refusal,
 )
 from sassafraskeel.core.events import Event
+from sassafraskeel.core.held_memory import HeldMemory, MemoryBudget
 from sassafraskeel.core.http import HttpConnection, find_header, response_events
 from sassafraskeel.core.http_requests import (
     RequestTimeouts,
@@ -35,6 +36,8 @@
 
 TIMEOUTS = RequestTimeouts(idle=60.0, head=10.0, body=10.0)
 MAX_CONNECTIONS = 64
+# For the heads of all connections together; requests of operators have no bodies.
+MAX_HELD_BYTES = 256 * 1024
 METRICS_TEXT_HEADER = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
 UNAUTHORIZED = ResponseHead(401, (JSON_HEADER, (b"www-authenticate", b"Bearer")))
 
@@ -64,6 +67,7 @@
         self._network = network
         self._log = log
         self._handlers = handlers
+        self._memory = MemoryBudget(MAX_HELD_BYTES)
         self._listener = None
         self._open_connections = 0
 
@@ -98,8 +102,10 @@
         stream = WatchedStream(accepted)
         http = HttpConnection(stream, h11.SERVER, self._clock)
         try:
-            while await self._serve_request(http, stream):
-                http.h11.start_next_cycle()
+            with self._memory.hold() as held:
+                while await self._serve_request(http, stream, held):
+                    http.h11.start_next_cycle()
+                    held.clear()
             await linger(http, stream, self._clock)
         except SassafraskeelError:
             return  # The operator disconnected, so that no answer can be sent.
@@ -107,11 +113,11 @@
             self._open_connections -= 1
             await http.close()
 
-    async def _serve_request(self, http, stream) -> bool:
+    async def _serve_request(self, http, stream, held: HeldMemory) -> bool:
         if not await wait_for_request(http, stream, self._clock, TIMEOUTS.idle):
             return False
         try:
-            request = await receive_request(http, stream, self._clock, TIMEOUTS)
+            request = await receive_request(http, stream, self._clock, TIMEOUTS, held)
             if request is None:
                 return False
             head, body = await self._answer(http, request)
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -14,10 +14,10 @@
 from sassafraskeel.calls.route_placement import RoutePlacement
 from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.calls.stream_versions import StreamVersions
-from sassafraskeel.core.body_budget import BodyBudget
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import TimedOut
 from sassafraskeel.core.events import Event
+from sassafraskeel.core.held_memory import MemoryBudget
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.metrics import Metrics
 from sassafraskeel.core.net import Network
@@ -142,7 +142,7 @@
         self.request_tracker = RequestTracker()
         self.metrics = Metrics(env.clock)
         self._recorder = CallRecorder(env.clock, env.log, self.metrics)
-        self._bodies = BodyBudget(cfg.callers.max_held_bytes)
+        self._memory = MemoryBudget(cfg.callers.max_held_bytes)
         self.loads = ReplicaLoads()
         self.prompt_caches = PromptCaches()
         self._routing_state = RoutingState(
@@ -363,7 +363,7 @@
                 self.request_tracker,
                 self._recorder,
                 self._links,
-                self._bodies,
+                self._memory,
                 lambda: self.follower.manifest_document,
                 FEATURE,
             ),
@@ -393,7 +393,7 @@
                 self.dispatcher,
                 self.request_tracker,
                 self._recorder,
-                self._bodies,
+                self._memory,
             ),
         )
 
--- a/tests/test_held_bodies.py
+++ b/tests/test_held_bodies.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 from unittest import TestCase
 
-from sassafraskeel.core.body_budget import FREE_BYTES, BodyBudget
 from sassafraskeel.core.errors import Refusal
+from sassafraskeel.core.held_memory import FREE_BYTES, MemoryBudget
 from sassafraskeel.core.net import parse_address
 from tests.support.routes import HOST, with_routes
 from tests.test_route_faults import chunk
@@ -35,7 +35,7 @@
 class BudgetTest(TestCase):
     def test_given_back(self):
         """Guards against room that is lost with each body, however it ends."""
-        budget = BodyBudget(100_000)
+        budget = MemoryBudget(100_000)
         for _ in range(3):
             with (
                 self.assertRaises(Refusal),
@@ -52,7 +52,7 @@
 
     def test_short_bodies(self):
         """Guards against short requests that are refused beside long ones."""
-        budget = BodyBudget(50_000)
+        budget = MemoryBudget(50_000)
         with budget.hold() as held:
             held.add(50_000 + FREE_BYTES)
             for size in (0, 1, FREE_BYTES):
@@ -63,7 +63,7 @@
 
     def test_longer_than_the_budget(self):
         """Guards against a body that is allowed, and refused for ever."""
-        budget = BodyBudget(50_000)
+        budget = MemoryBudget(50_000)
         with budget.hold() as held:
             held.check(200_000)
             held.add(200_000)
@@ -73,7 +73,7 @@
 class HostTest(TestCase):
     def set_budget(self, world, max_bytes):
         for host in world.hosts:
-            host._bodies.max_bytes = max_bytes
+            host._memory.max_bytes = max_bytes
 
     @with_routes
     async def test_uploads(self, world):
@@ -95,7 +95,7 @@
             for stream in streams:
                 await stream.close()
             await world.clock.sleep(5)
-            self.assertEqual(world.hosts[0]._bodies.used, 0)
+            self.assertEqual(world.hosts[0]._memory.used, 0)
         head, _ = await world.call("/order/1", "POST", call_id="after")
         self.assertEqual(head.status, 200)
         self.assertEqual([world.runs(f"u-{number}") for number in range(4)], [0] * 4)
@@ -106,9 +106,9 @@
         connections that are lost as it refuses one.
         """
         self.set_budget(world, 10_000)
-        world.hosts[2]._bodies.max_bytes = 10_000_000
+        world.hosts[2]._memory.max_bytes = 10_000_000
         for host in world.hosts[:2]:
-            host._bodies.hold().add(FREE_BYTES + 1)
+            host._memory.hold().add(FREE_BYTES + 1)
         framing = f"Content-Length: {LONG_BODY}"
         for _ in range(3):
             stream = await begin_upload(world, 1, framing, bytes(LONG_BODY), host=2)
@@ -118,11 +118,11 @@
         self.assertEqual(world.runs("u-1"), 0)
         self.set_budget(world, 10_000_000)
         for host in world.hosts[:2]:
-            host._bodies.used = 0
+            host._memory.used = 0
         stream = await begin_upload(world, 2, framing, bytes(LONG_BODY), host=2)
         self.assertTrue((await stream.read()).startswith(b"HTTP/1.1 200"))
         await world.clock.sleep(1)
-        self.assertEqual([host._bodies.used for host in world.hosts], [0, 0, 0])
+        self.assertEqual([host._memory.used for host in world.hosts], [0, 0, 0])
 
 
 class ProcessTest(TestCase):
