Hash fingerprints that are longer than a key of BLAKE2b

What callers saw: a request whose next to last prompt part has a name over 64 bytes got 502, "an internal error", although no replica had run it. Found by a crowd with names of 25 KB: 1,000 of 1,000 calls failed.

Change: a longer fingerprint is hashed first. Shorter ones choose as before.

Result: test_long_names failed with this ValueError before and passes.

--- a/sassafraskeel/decisions/affinity.py
+++ b/sassafraskeel/decisions/affinity.py
@@ -53,6 +53,8 @@
 
 def rendezvous(fingerprint: bytes, names: list[str]) -> list[str]:
     """Return names in order of preference for a fingerprint (rendezvous hashing)."""
+    if len(fingerprint) > hashlib.blake2b.MAX_KEY_SIZE:
+        fingerprint = hashlib.blake2b(fingerprint).digest()
 
     def score(name):
         return hashlib.blake2b(name.encode(), key=fingerprint, digest_size=8).digest()
--- a/tests/test_prompt_caches.py
+++ b/tests/test_prompt_caches.py
@@ -3,7 +3,11 @@
 from unittest import TestCase
 
 from sassafraskeel.core.types import Prompt, PromptPart
-from sassafraskeel.decisions.prompt_caches import MAX_PARTS, PromptCaches
+from sassafraskeel.decisions.prompt_caches import (
+    MAX_PARTS,
+    PromptCaches,
+    preferred_replica,
+)
 
 MEMORY = 100_000
 
@@ -33,6 +37,15 @@
             self.caches.record_prompt("r-1", prompt((f"p-{number}", 0)), MEMORY)
         self.assertEqual(len(self.caches._parts["r-1"]), MAX_PARTS)
 
+    def test_long_names(self):
+        """Guards against calls that fail because their parts have long names."""
+        replicas = ["r-1", "r-2", "r-3"]
+        chosen = set()
+        for number in range(20):
+            parts = prompt((f"{'a' * 64}{number}", 10), ("own", 1))
+            chosen.add(preferred_replica(parts, replicas))
+        self.assertEqual(chosen, set(replicas))
+
     def test_gone_replica(self):
         """Guards against prompts that count at a replica that started again."""
         self.caches.record_prompt("r-1", LONG, MEMORY)
