Keep a digest in place of long names of prompt parts

What callers saw: 1,600 streams, each with a new prompt part whose name had 25 KB, made a host grow by 41 MB that stayed. The names fit into the limit of a head.

Cause: the estimate of a replica's KV cache bounds the number of its parts, 4,096, and the tokens of these, but not the length of a name. Parts with 0 tokens are dropped by their number alone.

Change: the names of parts and models are only compared here, so that one over 64 characters is replaced by a digest where a request is read. The header goes to replicas as it was sent. Names in use are some 8 characters long.

--- a/sassafraskeel/platform/callers.py
+++ b/sassafraskeel/platform/callers.py
@@ -12,6 +12,7 @@
 from sassafraskeel.core.errors import Outcome, Reason, Refusal, not_run_refusal
 from sassafraskeel.core.http import find_header, strip_hop_by_hop
 from sassafraskeel.core.http_requests import RequestTimeouts
+from sassafraskeel.core.names import shorten
 from sassafraskeel.core.types import (
     Call,
     CallKind,
@@ -235,8 +236,8 @@
     for item in find_header(headers, wire.PROMPT_PARTS).split(",")[:MAX_PROMPT_PARTS]:
         name, _, tokens = item.strip().partition(":")
         if name and _is_count(tokens):
-            parts.append(PromptPart(name, int(tokens)))
-    model = find_header(headers, wire.MODEL)
+            parts.append(PromptPart(shorten(name), int(tokens)))
+    model = shorten(find_header(headers, wire.MODEL))
     return Prompt(model, int(counts[0]), int(counts[1]), tuple(parts))
 
 
