Keep the ids of recent streams without their calls

What callers saw: 1,600 streams that can be resumed, with heads of 25 KB, made a host grow by 84 MB that stayed for a minute.

Cause: the streams of the last 60 s, at most 8,192, are kept with their whole call, that is with all headers, for the case that their version proves wrong.

Change: the id, if hosts record it at all (up to 200 characters), the time and the history of the stream are kept; nothing else was used.

--- a/sassafraskeel/calls/stream_versions.py
+++ b/sassafraskeel/calls/stream_versions.py
@@ -3,7 +3,7 @@
 What replicas of two versions write does not fit together, and replicas do not check it.
 """
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from sassafraskeel.calls.attempts import AttemptHistory, Target
 from sassafraskeel.calls.routing_state import RoutingState
@@ -18,6 +18,7 @@
     CONFLICTING,
     OriginLookup,
     StreamOrigin,
+    is_valid_id,
 )
 from sassafraskeel.decisions.version_history import MAX_AGE_SECONDS, stream_lifetime
 
@@ -30,6 +31,18 @@
 FRESH_SECONDS = 0.6
 
 
+class _Begun(NamedTuple):
+    """What takes back the version of a stream; its call with its head is not kept.
+
+    `stream_id` is empty if no host records it. `expires` is when other hosts forget the
+    stream, in monotonic seconds.
+    """
+
+    stream_id: str
+    expires: float
+    history: AttemptHistory
+
+
 class OriginSource(Protocol):
     """Knows where the streams of all hosts began, as far as hosts can be asked."""
 
@@ -161,7 +174,12 @@
             replica = target.name
         else:
             region, replica = self._state.hosts.region_of(target.host), ""
-        key = call, history
+        stream_id = _stream_id(call)
+        key = _Begun(
+            stream_id if is_valid_id(stream_id) else "",
+            call.expires + KEEP_SECONDS,
+            history,
+        )
         now = self._clock.monotonic()
         stream = RecentStream(now, call.service, version, region, replica, key)
         self._recent.record(stream)
@@ -177,10 +195,9 @@
             region = self._state.fleet.region_of(change.former.zone)
             streams = self._recent.pop_of_new_run(change, region, now, wall_time)
             for stream in streams:
-                call, history = stream.key
-                history.stream_version = ""
-                expires = call.expires + KEEP_SECONDS
-                await self._origins.take_back(_stream_id(call), expires)
+                begun = stream.key
+                begun.history.stream_version = ""
+                await self._origins.take_back(begun.stream_id, begun.expires)
             if streams:
                 self._log.emit(
                     Event.STREAM_VERSIONS_TAKEN_BACK,
