Keep digests of long call ids on connections to replicas

What callers saw: 1,600 calls with ids of 25 KB made a host grow by 39 MB that stayed as long as the connections to its replicas.

Cause: a connection keeps the ids of up to 128 calls that went over it, so that a late copy of an answer isn't taken for the next one. Their length had no bound but that of a head.

Change: an id over 64 characters is kept as a digest, since ids are only compared here. The header goes on as it was sent.

--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -40,7 +40,8 @@
     `keep_alive_seconds` is how long the server keeps the connection open when idle,
     or None if the server did not send the time. `number` is that of the pool that
     opened the connection, and `request_count` counts the requests sent so far.
-    `call_ids` are the calls that were sent over it, if its user records them.
+    `call_ids` are the calls that were sent over it, if its user records them, with
+    digests in place of long ids.
     """
 
     def __init__(self, address: Address, stream, clock: Clock):
--- a/sassafraskeel/upstreams/replicas.py
+++ b/sassafraskeel/upstreams/replicas.py
@@ -21,6 +21,7 @@
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.http_client import ClientConnection
 from sassafraskeel.core.log import LogSink
+from sassafraskeel.core.names import shorten
 from sassafraskeel.core.types import (
     STOP_SECONDS,
     Call,
@@ -249,7 +250,7 @@
             self._observer.on_data_expected(replica)
         try:
             check()
-            conn.call_ids.add(call.call_id)
+            conn.call_ids.add(shorten(call.call_id))
             sent_at = self._clock.monotonic()
             head = await self._exchange(replica, conn, call, body, head_timeout)
             replica_head = self._interface.read_head(
@@ -300,7 +301,7 @@
         max_idle = (
             None if call.route_policy.repeatable else MAX_IDLE_UNREPEATABLE_SECONDS
         )
-        conn = await self._pool.take(replica.address, max_idle, call.call_id)
+        conn = await self._pool.take(replica.address, max_idle, shorten(call.call_id))
         if conn is not None:
             return conn
         try:
