Cut long fields of log lines

The number of lines was bounded, their length was not.

Change: a text of over 2,048 characters is cut, and its length is written.

Result: test_long_fields has a line of 30 KB without the change, and passes.

--- a/sassafraskeel/core/log.py
+++ b/sassafraskeel/core/log.py
@@ -16,6 +16,9 @@
 MAX_DEBUG_EVENTS_IN_WINDOW = 5000
 # For the events of single calls; a host serves some tens of calls per second.
 MAX_CALL_EVENTS_IN_WINDOW = 1000
+# Ids and paths of callers may be as long as a head. The faults of changed settings
+# fit into this, too, unless there are many.
+MAX_FIELD_LENGTH = 2048
 CALL_EVENT_NUMBERS = frozenset((201, 202, 205, 207, 208, 304, 310, 314))
 
 
@@ -47,10 +50,16 @@
             number=spec.number,
             level=spec.level.value,
             at=self._clock.now().isoformat(timespec="milliseconds"),
-            **fields,
+            **{name: _shorten_field(value) for name, value in fields.items()},
         )
 
 
+def _shorten_field(value):
+    if not isinstance(value, str) or len(value) <= MAX_FIELD_LENGTH:
+        return value
+    return f"{value[:MAX_FIELD_LENGTH]}... ({len(value)} characters)"
+
+
 class NonBlockingOutput:
     """Writes lines to a file descriptor and drops those that would block.
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,11 +1,18 @@
 """The list of events and the rate limit of the log."""
 
+import io
+import json
 import re
 from pathlib import Path
 from unittest import TestCase
 
 from sassafraskeel.core.events import Event
-from sassafraskeel.core.log import MAX_EVENTS_IN_WINDOW, RateLimitedLog
+from sassafraskeel.core.log import (
+    MAX_EVENTS_IN_WINDOW,
+    MAX_FIELD_LENGTH,
+    RateLimitedLog,
+    StructuredLog,
+)
 from tests.support.clock import VirtualClock, run_virtual
 from tests.test_callers_server import CHAT, chat, dial, post, read_all
 from tests.test_host import World
@@ -36,6 +43,19 @@
         self.assertEqual(len(Event.__members__), len(set(numbers)))
 
 
+class StructuredLogTest(TestCase):
+    def test_long_fields(self):
+        """Guards against lines as long as what a caller sends."""
+        output = io.StringIO()
+        log = StructuredLog(VirtualClock(), "host-1", output)
+        log.emit(Event.CALL_REFUSED, call="a" * 30_000, detail="b" * 100)
+        [line] = output.getvalue().splitlines()
+        self.assertLess(len(line), MAX_FIELD_LENGTH + 1000)
+        fields = json.loads(line)
+        self.assertTrue(fields["call"].endswith("... (30000 characters)"))
+        self.assertEqual(fields["detail"], "b" * 100)
+
+
 class RateLimitedLogTest(TestCase):
     def test_repeated_events(self):
         """Guards against a log that fills the disk, and events dropped silently."""
