Bound the answers that wait for their callers

What callers saw: 65 callers that read nothing of answers of 400 KB made a host grow by 25 MB in place of 10 allowed, and by 85 MB once the kernel's buffers were bounded. Each answer was bounded (4 MB), all together were not.

Cause: an answer that is no stream is read as a whole before its head is sent, and counted nowhere.

Change: it counts in the memory budget of its connection, and is read once there is room for its announced length. While one waits for room, the connection whose caller has taken nothing of a part of 16 KB for 0.3 s, the longest one first, is reset (208, "the caller did not take its answer"). An answer without room until the deadline of its call ends with 504, since it has run. Buffers for sending are of 16 KB at listeners.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -47,9 +47,17 @@
 MAX_REFUSED_CONNECTIONS = 64
 # The state of a curio task that runs as soon as the tasks before it have blocked.
 READY_STATE = "READY"
+# The longest part of an answer that is sent at once. A caller that takes its answer
+# takes a part in a round trip, which is 0.16 s between regions.
+SEND_SLICE_BYTES = 16 * 1024
+STALLED_SEND_SECONDS = 0.3
 CLOSE_HEADER = (b"connection", b"close")
 
 
+class AnswerNotTaken(curio.CancelledError):
+    """Cancels a task whose caller takes no answer while others need its room."""
+
+
 class CallerComponents(NamedTuple):
     """The components of a caller server; it serves no calls without a dispatcher."""
 
@@ -70,6 +78,8 @@
         self.method = b""
         self.idle = False
         self.call_id = ""
+        # When the current part of an answer began to wait for the caller, or None.
+        self.sending_since: float | None = None
 
     def has_answer_begun(self) -> bool:
         """Return whether the head of the current answer has been sent."""
@@ -111,6 +121,7 @@
         self._connection_count = 0
         self._tasks: dict[CallerConnection, curio.Task] = {}
         self._disconnected = curio.Event()
+        components.memory.on_shortage(self._close_stalled)
 
     async def listen(self):
         """Open the listener and return its address."""
@@ -250,6 +261,10 @@
             if isinstance(exc, PeerLeft):
                 self._log.emit(Event.CALLER_LEFT, call=call_id)
                 raise
+            if isinstance(exc, AnswerNotTaken):
+                # Otherwise the kernel goes on to hold what was not taken.
+                await conn.stream.reset()
+                raise ConnectionLost("the caller did not take its answer") from exc
             if conn.has_answer_begun():
                 raise ConnectionLost("the answer was truncated") from exc
             await self._refuse(conn, record.closing_refusal(), record)
@@ -284,7 +299,8 @@
         interface, dispatcher = self._interface, self._components.dispatcher
         await interface.wait_ready()
         now = self._clock.monotonic()
-        call = record.call = interface.read_call(request, record.call_id, now)
+        call = interface.read_call(request, record.call_id, now)
+        call = record.call = call._replace(held=conn.held)
         dispatcher.check(call)
         length = find_header(request.headers, b"content-length")
         conn.held.check(int(length or 0))
@@ -324,13 +340,38 @@
             if pending:
                 record.first_data_at = now
             try:
-                await self._send_events(conn, *pending, h11.Data(data=data))
+                await self._send_data(conn, pending, data)
             finally:
                 record.send_seconds += self._clock.monotonic() - now
             pending = []
         await self._send_events(conn, *pending, h11.EndOfMessage())
         record.outcome = Outcome.ANSWERED
 
+    async def _send_data(self, conn: CallerConnection, head: list, data: bytes) -> None:
+        """Send data of an answer, after its head if it is the first of it."""
+        try:
+            for start in range(0, len(data), SEND_SLICE_BYTES):
+                part = h11.Data(data=data[start : start + SEND_SLICE_BYTES])
+                conn.sending_since = self._clock.monotonic()
+                await self._send_events(conn, *head, part)
+                head = []
+        finally:
+            conn.sending_since = None
+
+    async def _close_stalled(self) -> None:
+        """Close a connection whose caller keeps its answer waiting, the longest one."""
+        now = self._clock.monotonic()
+        stalled = [
+            conn
+            for conn in self._tasks
+            if conn.sending_since is not None
+            and now - conn.sending_since >= STALLED_SEND_SECONDS
+        ]
+        if stalled:
+            conn = min(stalled, key=lambda conn: conn.sending_since)
+            conn.sending_since = None
+            await self._tasks[conn].cancel(exc=AnswerNotTaken, blocking=False)
+
     async def _read_answer(self, answer, record: CallRecord, started: bool) -> bytes:
         try:
             return await answer.read()
--- a/sassafraskeel/calls/answers.py
+++ b/sassafraskeel/calls/answers.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
     AnswerTruncated,
     ConnectionLost,
@@ -12,6 +13,7 @@
     UpstreamLost,
     unknown_outcome_refusal,
 )
+from sassafraskeel.core.http import find_header
 from sassafraskeel.core.http_client import BODYLESS_STATUSES
 from sassafraskeel.core.types import (
     Answer,
@@ -25,6 +27,8 @@
 SERVED_BY_HEADER = b"x-served-by"
 ATTEMPTS_HEADER = b"x-attempts"
 MAX_BUFFERED_ANSWER_BYTES = 4 * 1024 * 1024
+# How long an answer without a length, a part of which is held, waits for more room.
+MAX_PART_WAIT_SECONDS = 1.0
 
 
 class ReleasingAnswer:
@@ -66,15 +70,16 @@
 
 
 async def buffer_answer(
-    source: str, call: Call, answer: Answer, software_version: str = ""
+    source: str, call: Call, answer: Answer, clock: Clock, software_version: str = ""
 ) -> BufferedAnswer:
     """Read and close an answer that is no stream; raise Refusal unless it is whole.
 
-    No truncated answer is thus forwarded. `source` names the target that answers, and
+    No truncated answer is thus forwarded. An answer is read no faster than the host has
+    room for it. `source` names the target that answers, and
     `software_version` is that of its replica.
     """
     try:
-        data = await read_to_end(answer, MAX_BUFFERED_ANSWER_BYTES)
+        data = await _read_with_room(call, answer, clock)
     except TimedOut as exc:
         raise unknown_outcome_refusal(Reason.DEADLINE, f"{source}: {exc}") from exc
     except (AnswerTruncated, ConnectionLost) as exc:
@@ -95,6 +100,33 @@
     return BufferedAnswer(head, data, software_version)
 
 
+async def _read_with_room(call: Call, answer: Answer, clock: Clock) -> bytes | None:
+    """Return the rest of an answer, or None if it is too long.
+
+    Raise TimedOut if there is no room for it in time. Room for an announced length is
+    taken at once: answers that each wait for the rest of theirs would wait for ever.
+    """
+    held = call.held
+    if held is None:
+        return await read_to_end(answer, MAX_BUFFERED_ANSWER_BYTES)
+    announced = 0
+    if call.method != "HEAD" and answer.head.status not in BODYLESS_STATUSES:
+        announced = int(find_header(answer.head.headers, b"content-length") or 0)
+    if announced > MAX_BUFFERED_ANSWER_BYTES:
+        return None
+    await held.add_in_time(announced, clock, call.expires)
+    size = 0
+
+    async def count(part: int) -> None:
+        nonlocal size
+        size += part
+        if size > announced:
+            expires = min(call.expires, clock.monotonic() + MAX_PART_WAIT_SECONDS)
+            await held.add_in_time(part, clock, expires)
+
+    return await read_to_end(answer, MAX_BUFFERED_ANSWER_BYTES, count)
+
+
 def _framing_headers(call: Call, head: ResponseHead, size: int) -> Headers:
     """Return the headers of an answer with the length of its body, if it has one.
 
--- a/sassafraskeel/calls/route_calls.py
+++ b/sassafraskeel/calls/route_calls.py
@@ -296,7 +296,7 @@
             )
             return ReleasingAnswer(stream, (), release, answer.software_version)
         buffered = await buffer_answer(
-            target.name, call, answer, answer.software_version
+            target.name, call, answer, self._clock, answer.software_version
         )
         await release(True)
         return buffered
@@ -357,7 +357,9 @@
                 self._record_route_time(call, answer, started)
 
         if not is_event_stream(answer.head) or answer.head.status >= 300:
-            buffered = await buffer_answer(target.name, call, answer, version)
+            buffered = await buffer_answer(
+                target.name, call, answer, self._clock, version
+            )
             await attempt.head_received()
             if answer.is_close_delimited and await attempt.answer_cut():
                 detail = f"{target.name} ended with its answer"
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -45,7 +45,7 @@
 
 # What has arrived counts as memory of the host, and any client may open a connection to
 # a listener. Bodies of some tens of KB still arrive in a few round trips.
-CLIENT_BUFFERS = BufferSizes(16 * 1024, 64 * 1024)
+CLIENT_BUFFERS = BufferSizes(16 * 1024, 16 * 1024)
 # Replicas are near, and callers that don't read their answers leave these ones full.
 UPSTREAM_BUFFERS = BufferSizes(32 * 1024, 64 * 1024)
 # Between regions, a round trip of 160 ms carries no more than the buffer.
--- a/sassafraskeel/core/types.py
+++ b/sassafraskeel/core/types.py
@@ -1,9 +1,11 @@
 """Data types shared by the packages of a gateway host."""
 
 import math
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
+from sassafraskeel.core.held_memory import HeldMemory
 from sassafraskeel.core.net import Address
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -101,7 +103,7 @@
     A call that takes up a stream names in `resumes` the attempt of its caller that
     brought the first event. It may run only at replicas with its `software_version`,
     or at any if that is empty. `route_services` are known at the host of the caller
-    only.
+    only. `held` counts what its connection to this host holds, its answer included.
     """
 
     call_id: str
@@ -125,6 +127,7 @@
     resumes: str = ""
     software_version: str = ""
     route_services: RouteServices | None = None
+    held: HeldMemory | None = None
     answer_expires: float = -math.inf
 
     @property
@@ -194,13 +197,22 @@
         self._body = b""
 
 
-async def read_to_end(answer: Answer, max_bytes: int) -> bytes | None:
-    """Return the rest of an answer, or None if it is longer than `max_bytes`."""
+async def read_to_end(
+    answer: Answer,
+    max_bytes: int,
+    on_data: Callable[[int], Awaitable[None]] | None = None,
+) -> bytes | None:
+    """Return the rest of an answer, or None if it is longer than `max_bytes`.
+
+    `on_data` is called with the size of each part; what it raises ends the reading.
+    """
     parts = []
     size = 0
     while data := await answer.read():
         size += len(data)
         if size > max_bytes:
             return None
+        if on_data is not None:
+            await on_data(len(data))
         parts.append(data)
     return b"".join(parts)
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -194,6 +194,7 @@
         record.call = to_call(offer, self._clock.monotonic())
         try:
             with self._components.memory.hold() as held:
+                record.call = record.call._replace(held=held)
                 body = await self._read_body(channel, held) if has_body else None
                 await self._run_call(channel, stream, record, body, held)
         except Refusal as refusal:
