Bound what hosts hold for peers without a checked token

What callers saw: 190 connections to the port for other hosts, each with a websocket frame of 1.2 MB that stops short of its end, made a host grow by 224 MB.

Cause: messages of up to 1.2 MB, and a handshake of 128 header lines of 8 KB, were taken before the token is checked, on up to 1,024 connections for a second. With these bounded, 43 MB waited in the kernel's buffers, which were those of links.

Change: a connection takes 8 KB until the token is checked, and at most 64 connections wait for that; for a further one the oldest is closed. Its buffers are those of callers' connections until then, so that all listeners have the same.

--- a/bench/control.py
+++ b/bench/control.py
@@ -76,6 +76,9 @@
     async def close(self) -> None:
         await self._inner.close()
 
+    def set_buffers(self, buffers) -> None:
+        self._inner.set_buffers(buffers)
+
 
 class CountingListener:
     """A listener that accepts counted streams."""
@@ -104,7 +107,7 @@
         stream = await self._inner.connect(address)
         return stream if address == self._platform else CountingStream(stream, self)
 
-    async def listen(self, address, buffers=None):
+    async def listen(self, address):
         return CountingListener(await self._inner.listen(address), self)
 
 
--- a/bench/stream_origins.py
+++ b/bench/stream_origins.py
@@ -90,7 +90,7 @@
     async def connect(self, address, buffers=None):
         return CountingStream(await self._inner.connect(address), self)
 
-    async def listen(self, address, buffers=None):
+    async def listen(self, address):
         return CountingListener(await self._inner.listen(address), self)
 
 
--- a/sassafraskeel/core/accepting.py
+++ b/sassafraskeel/core/accepting.py
@@ -4,14 +4,7 @@
 from sassafraskeel.core.errors import AcceptFailed, AddressUnavailable, ConnectionLost
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.log import LogSink
-from sassafraskeel.core.net import (
-    CLIENT_BUFFERS,
-    Address,
-    BufferSizes,
-    Listener,
-    Network,
-    Stream,
-)
+from sassafraskeel.core.net import Address, Listener, Network, Stream
 
 # Without a free descriptor, each attempt fails at once.
 ACCEPT_RETRY_SECONDS = 0.1
@@ -23,11 +16,7 @@
 
 
 async def listen_when_free(
-    network: Network,
-    address: Address,
-    clock: Clock,
-    log: LogSink,
-    buffers: BufferSizes = CLIENT_BUFFERS,
+    network: Network, address: Address, clock: Clock, log: LogSink
 ) -> Listener:
     """Listen on an address, and wait for LISTEN_WAIT_SECONDS if it is not free.
 
@@ -37,7 +26,7 @@
     is_logged = False
     while True:
         try:
-            return await network.listen(address, buffers=buffers)
+            return await network.listen(address)
         except AddressUnavailable as exc:
             if clock.monotonic() >= give_up_at:
                 raise
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -43,8 +43,9 @@
     send: int
 
 
-# What has arrived counts as memory of the host, and any client may open a connection to
-# a listener. Bodies of some tens of KB still arrive in a few round trips.
+# For the connections of a listener, since any client may open one, and what has arrived
+# counts as memory of the host. Bodies of some tens of KB still arrive in a few round
+# trips.
 CLIENT_BUFFERS = BufferSizes(16 * 1024, 16 * 1024)
 # Replicas are near, and callers that don't read their answers leave these ones full.
 UPSTREAM_BUFFERS = BufferSizes(32 * 1024, 64 * 1024)
@@ -102,6 +103,9 @@
     async def reset(self) -> None:
         """Close the connection so that the peer does not take it for a clean end."""
 
+    def set_buffers(self, buffers: BufferSizes) -> None:
+        """Ask the kernel for larger buffers."""
+
 
 async def drop_data(stream: Stream, clock: Clock, max_bytes: float) -> None:
     """Read and drop what a peer sends until it closes, or until some bytes were read.
@@ -155,9 +159,7 @@
     ) -> Stream:
         """Open a connection; raise ConnectionLost."""
 
-    async def listen(
-        self, address: Address, buffers: BufferSizes = CLIENT_BUFFERS
-    ) -> Listener:
+    async def listen(self, address: Address) -> Listener:
         """Listen on an address; port 0 selects a free port.
 
         Raises AddressUnavailable if it may be free later, and UserError.
@@ -258,6 +260,9 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             await self.close()
 
+    def set_buffers(self, buffers: BufferSizes) -> None:
+        _set_buffers(self._sock, buffers)
+
 
 class TcpListener:
     """A listening TCP socket."""
@@ -333,15 +338,13 @@
         _set_options(sock)
         return TcpStream(sock, self._turns, f"server {address}")
 
-    async def listen(
-        self, address: Address, buffers: BufferSizes = CLIENT_BUFFERS
-    ) -> Listener:
+    async def listen(self, address: Address) -> Listener:
         sock = socket.socket(_family(address), socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            # Accepted sockets inherit the sizes. Those of a connection that exists
-            # change too late for the window that it has announced.
-            _set_buffers(sock, buffers)
+            # Accepted sockets inherit the sizes; what has arrived on one before it is
+            # accepted can't be taken back.
+            _set_buffers(sock, CLIENT_BUFFERS)
             sock.bind(address)
             sock.listen(LISTEN_BACKLOG)
         except OSError as exc:
--- a/sassafraskeel/core/watched_stream.py
+++ b/sassafraskeel/core/watched_stream.py
@@ -3,7 +3,7 @@
 import curio
 
 from sassafraskeel.core.errors import ConnectionLost
-from sassafraskeel.core.net import READ_SIZE_BYTES, Stream
+from sassafraskeel.core.net import READ_SIZE_BYTES, BufferSizes, Stream
 
 # A peer that sends more than this during the current answer is no longer watched;
 # further data stays in the bounded buffers of the operating system. The head of a next
@@ -42,6 +42,9 @@
     async def reset(self) -> None:
         await self._inner.reset()
 
+    def set_buffers(self, buffers: BufferSizes) -> None:
+        self._inner.set_buffers(buffers)
+
     async def read_ahead(self, max_bytes: int = MAX_READ_AHEAD_BYTES) -> bool:
         """Wait for more data and buffer it for `read`; return False at EOF."""
         if not self._ended:
--- a/sassafraskeel/emulators/network.py
+++ b/sassafraskeel/emulators/network.py
@@ -5,7 +5,6 @@
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import ConnectionLost
 from sassafraskeel.core.net import (
-    CLIENT_BUFFERS,
     LINK_BUFFERS,
     READ_SIZE_BYTES,
     Address,
@@ -71,10 +70,8 @@
         await stream.start()
         return stream
 
-    async def listen(
-        self, address: Address, buffers: BufferSizes = CLIENT_BUFFERS
-    ) -> Listener:
-        return await self._inner.listen(address, buffers)
+    async def listen(self, address: Address) -> Listener:
+        return await self._inner.listen(address)
 
 
 class _WanStream:
--- a/sassafraskeel/gateways/channel.py
+++ b/sassafraskeel/gateways/channel.py
@@ -1,6 +1,7 @@
 """A websocket between two gateway hosts that carries CBOR messages."""
 
 import hmac
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -27,6 +28,9 @@
 WS_PATH = "/gateway"
 # The size limit of a message does not bound the number of its empty fragments.
 MAX_FRAGMENTS = 1024
+# The handshake and the hello of a peer, whose token has not been checked yet, have some
+# hundred bytes.
+MAX_UNVERIFIED_BYTES = 8 * 1024
 # All frames of a read are parsed before other tasks get their turn, and the shortest
 # ones have two bytes.
 FRAMES_READ_BYTES = 8192
@@ -41,10 +45,19 @@
         self._received = deque()
         self._fragments = []
         self._message_size = 0
+        self._unread_allowance = math.inf
         # Several tasks send; a write that is cut off leaves part of a frame.
         self._write_lock = curio.Lock()
         self._write_failed = False
 
+    def limit_unverified(self) -> None:
+        """Let `receive` fail once more has arrived than a hello needs."""
+        self._unread_allowance = MAX_UNVERIFIED_BYTES
+
+    def set_verified(self) -> None:
+        """Remove the limit, since the peer has the token."""
+        self._unread_allowance = math.inf
+
     async def open_as_client(self) -> None:
         """Perform the opening handshake as the dialling end."""
         self._protocol.send_request(self._protocol.connect())
@@ -140,6 +153,9 @@
         data = await self._stream.read(FRAMES_READ_BYTES)
         if not data:
             raise ConnectionClosed("the peer closed the connection")
+        self._unread_allowance -= len(data)
+        if self._unread_allowance < 0:
+            raise ProtocolError("the peer sends too much before its hello")
         return data
 
     async def _flush(self):
@@ -179,9 +195,11 @@
     been checked. Its purpose is that of the peer, and the local features.
     """
     channel = Channel(stream, ServerProtocol(max_size=MAX_MESSAGE_BYTES))
+    channel.limit_unverified()
     try:
         await channel.open_as_server()
         peer = await _receive_hello(channel, hello.token)
+        channel.set_verified()
         purpose = f"{peer.purpose} {hello.purpose}".strip()
         await channel.send(hello._replace(purpose=purpose))
         return channel, peer
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -57,6 +57,9 @@
 from sassafraskeel.gateways.route_forwarding import route_offer_to_call
 
 MAX_CONTROL_LINKS = 512
+# Connections whose token has not been checked yet; a peer sends it in its first round
+# trips. For a further one, the oldest is closed.
+MAX_UNVERIFIED_CONNECTIONS = 64
 # The upper bound of the setting max_body_bytes of callers.
 MAX_FORWARDED_BODY_BYTES = 64 * 1024 * 1024
 BODY_TIMEOUT_SECONDS = 30.0
@@ -65,6 +68,10 @@
 CALL_IDLE_SECONDS = 2 * MAX_CONNECTION_AGE_SECONDS
 
 
+class _Displaced(curio.CancelledError):
+    """Cancels the task of a connection that makes room for a newer one."""
+
+
 class PeerComponents(NamedTuple):
     """The parts of a host that serve the requests of other hosts.
 
@@ -104,11 +111,13 @@
         self._local_host: HostInfo | None = None
         self._listener = None
         self._open_connections = 0
+        # The tasks of connections whose token has not been checked, the oldest first.
+        self._unverified: dict[WatchedStream, curio.Task] = {}
 
     async def listen(self):
         """Open the listener and return its address."""
         self._listener = await listen_when_free(
-            self._network, self._address, self._clock, self._log, LINK_BUFFERS
+            self._network, self._address, self._clock, self._log
         )
         return self._listener.address
 
@@ -145,13 +154,22 @@
         stream = WatchedStream(accepted)
         try:
             await self._serve(stream)
-        except (SassafraskeelError, PeerLeft):
+        except (SassafraskeelError, PeerLeft, _Displaced):
             return  # The dialling host logs the loss and reopens the link.
         finally:
             self._open_connections -= 1
+            self._unverified.pop(stream, None)
             await stream.close()
 
+    async def _make_room(self) -> None:
+        """Close the oldest connection without a checked token if there are too many."""
+        if len(self._unverified) >= MAX_UNVERIFIED_CONNECTIONS:
+            oldest = self._unverified.pop(next(iter(self._unverified)))
+            await oldest.cancel(exc=_Displaced, blocking=False)
+
     async def _serve(self, stream: WatchedStream) -> None:
+        await self._make_room()
+        self._unverified[stream] = await curio.current_task()
         hello = Hello(
             self._local_host,
             self._cfg.token,
@@ -164,6 +182,8 @@
         except SassafraskeelError as exc:
             self._log.emit(Event.PEER_REJECTED, detail=str(exc))
             return
+        self._unverified.pop(stream, None)
+        stream.set_buffers(LINK_BUFFERS)
         if peer.purpose == "control":
             await AcceptedLink(channel, peer.host, self._components.requests).serve()
         elif peer.purpose == MANIFEST_PURPOSE:
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -171,6 +171,9 @@
         self.peer._reset = True
         await self.close()
 
+    def set_buffers(self, buffers) -> None:
+        return None
+
     def _lose_if_cut(self) -> bool:
         if self._faults.is_cut(self.node, self.peer.node):
             self._silent = self.peer._silent = True
@@ -240,7 +243,7 @@
         await listener.queue.put(right)
         return left
 
-    async def listen(self, address: Address, node: str = "", buffers=None):
+    async def listen(self, address: Address, node: str = ""):
         if address.port == 0:
             address = address._replace(port=next(self._ports))
         listener = self.listeners[address] = MemoryListener(self, address, node)
@@ -257,5 +260,5 @@
     async def connect(self, address: Address, buffers=None):
         return await self._network.connect(address, self._node)
 
-    async def listen(self, address: Address, buffers=None):
+    async def listen(self, address: Address):
         return await self._network.listen(address, self._node)
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -131,7 +131,7 @@
             network = MemoryNetwork()
             listen, failures = network.listen, itertools.count(1)
 
-            async def fail(address, buffers):
+            async def fail(address):
                 raise AddressUnavailable(f"{address}: {next(failures)}")
 
             network.listen = fail
