Let the limits on connections follow from the machine of a host

What callers saw: 190 silent connections to each listener of a host that takes 200 connections took 962 sockets in place of 390 allowed (a tenth of the 3,900 that the smallest machine leaves for sockets). At the defaults four listeners took 2,064 connections each, and 40 MB of bodies, on each machine from 160 MB on. Once a listener was full, connections that send nothing kept all others out.

Cause: limits were fixed numbers, each for itself, and nothing knew the machine.

Change: [host] memory_mb and descriptors, which the platform fills in, limit the connections of callers and of the directory, and the bytes held, so that their sum fits (core.capacity); the settings of [callers] can only lower them. Readiness takes 32 connections, metrics 16. At the limit, the connection that has waited longest for a request is closed for a new one.

A test expected that silent connections get others refused (429). It is replaced: connections with a begun request get others refused, and silent ones give way.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -42,9 +42,9 @@
 )
 from sassafraskeel.core.watched_stream import PeerLeft, WatchedStream
 
-# The number of connections over the limit that are answered by a refusal; any beyond
+# The share of connections over the limit that are answered by a refusal; any beyond
 # them are closed without an answer.
-MAX_REFUSED_CONNECTIONS = 64
+REFUSED_SHARE = 0.125
 # The state of a curio task that runs as soon as the tasks before it have blocked.
 READY_STATE = "READY"
 # The longest part of an answer that is sent at once. A caller that takes its answer
@@ -77,6 +77,7 @@
         self.http = HttpConnection(self.stream, h11.SERVER, clock)
         self.method = b""
         self.idle = False
+        self.idle_since = clock.monotonic()
         self.call_id = ""
         # When the current part of an answer began to wait for the caller, or None.
         self.sending_since: float | None = None
@@ -96,6 +97,15 @@
         return is_old and state.our_state is h11.SEND_BODY
 
 
+def _is_idle(conn: CallerConnection, task: curio.Task) -> bool:
+    """Return whether a connection waits for a request, of which nothing has arrived.
+
+    A task that is ready may have bytes of a request to read. It would be cancelled at
+    its next blocking operation, in the middle of that call.
+    """
+    return conn.idle and task.state != READY_STATE
+
+
 class CallerServer:
     """Accepts the connections of callers and answers their requests."""
 
@@ -145,14 +155,10 @@
         while unchecked:
             ready = []
             for conn, task in unchecked:
-                if not conn.idle:
-                    continue
-                # A task that is ready may have bytes of a request to read. It would be
-                # cancelled at its next blocking operation, in the middle of that call.
-                if task.state == READY_STATE:
-                    ready.append((conn, task))
-                else:
+                if _is_idle(conn, task):
                     await task.cancel(blocking=False)
+                elif conn.idle:
+                    ready.append((conn, task))
             unchecked = ready
             if unchecked:
                 await curio.sleep(0)
@@ -168,15 +174,26 @@
             stream = await accept_next(self._listener, self._clock, self._log)
             if stream is None:
                 return
-            if (
-                self._connection_count
-                >= self._max_connections + MAX_REFUSED_CONNECTIONS
-            ):
+            if self._connection_count >= self._max_connections:
+                await self._close_idlest()
+            if self._connection_count >= (1 + REFUSED_SHARE) * self._max_connections:
                 await stream.close()
                 continue
             self._connection_count += 1
             await group.spawn(self._handle_connection, stream)
 
+    async def _close_idlest(self) -> None:
+        """Close the connection that has waited longest for a request, if there is one.
+
+        Otherwise connections that send nothing keep all others out. Clients send their
+        request at once, or again if their connection was closed before.
+        """
+        idle = [conn for conn, task in self._tasks.items() if _is_idle(conn, task)]
+        if idle:
+            conn = min(idle, key=lambda conn: conn.idle_since)
+            conn.idle = False
+            await self._tasks[conn].cancel(blocking=False)
+
     async def _handle_connection(self, accepted: Stream) -> None:
         conn = CallerConnection(accepted, self._clock, self._components.memory)
         self._tasks[conn] = await curio.current_task()
@@ -218,6 +235,7 @@
     async def _serve_request(self, conn: CallerConnection) -> bool:
         limits = self._interface.limits()
         conn.idle, conn.call_id = True, ""
+        conn.idle_since = self._clock.monotonic()
         conn.held.clear()
         if not await wait_for_request(conn.http, conn.stream, self._clock, limits.idle):
             return False
--- a/sassafraskeel/core/route_settings.py
+++ b/sassafraskeel/core/route_settings.py
@@ -21,6 +21,8 @@
     smallest one; the fastest host of a region coordinates it.
     """
 
+    memory_mb: float = Field(200, ge=100)
+    descriptors: int = Field(4100, ge=400)
     grace: Duration = timedelta(seconds=8)
     cpu_share: float = Field(1.0, gt=0, le=1)
     cores: float = Field(1.0, gt=0, le=1024)
@@ -58,10 +60,10 @@
 
 
 class RouteCallerSection(Section):
-    """The interface to callers; `max_held_bytes` bounds the bodies of all requests.
+    """The interface to callers.
 
-    A body is copied while it is sent on, and a host without calls takes 50 to 80 MB, so
-    that a machine with 200 MB bears the default.
+    `max_held_bytes` bounds what the requests and answers of all connections hold. The
+    machine may bear less than these limits (see HostSection).
     """
 
     max_connections: int = Field(2000, ge=1)
--- a/sassafraskeel/core/settings.py
+++ b/sassafraskeel/core/settings.py
@@ -54,10 +54,16 @@
 
 
 class HostSection(Section):
-    """Identity and logging of the host."""
+    """Identity and logging of the host, and what its machine has.
+
+    The limits on connections, and on what they may hold, follow from `memory_mb` and
+    `descriptors` where those of the section `callers` are higher (see core.capacity).
+    """
 
     name: str = Field(min_length=1, max_length=64)
     domain: str = Field(min_length=1, max_length=64)
+    memory_mb: float = Field(1000, ge=100)
+    descriptors: int = Field(8192, ge=400)
     log_level: str = Field("info", pattern="^(info|debug)$")
     log_format: str = Field("json", pattern="^(json|console)$")
 
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -22,7 +22,7 @@
 from sassafraskeel.core.held_memory import HeldMemory, MemoryBudget
 from sassafraskeel.core.http import find_header
 from sassafraskeel.core.log import LogSink
-from sassafraskeel.core.net import LINK_BUFFERS, Address, Network, Stream
+from sassafraskeel.core.net import LINK_BUFFERS, Address, Network
 from sassafraskeel.core.settings import GatewaySection
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.types import (
@@ -147,11 +147,16 @@
                 )
                 await stream.close()
                 continue
+            if len(self._unverified) >= MAX_UNVERIFIED_CONNECTIONS:
+                oldest = self._unverified.pop(next(iter(self._unverified)))
+                await oldest.cancel(exc=_Displaced)
             self._open_connections += 1
-            await group.spawn(self._handle_connection, stream)
+            watched = WatchedStream(stream)
+            task = await group.spawn(self._handle_connection, watched)
+            if not task.terminated:
+                self._unverified[watched] = task
 
-    async def _handle_connection(self, accepted: Stream) -> None:
-        stream = WatchedStream(accepted)
+    async def _handle_connection(self, stream: WatchedStream) -> None:
         try:
             await self._serve(stream)
         except (SassafraskeelError, PeerLeft, _Displaced):
@@ -161,15 +166,7 @@
             self._unverified.pop(stream, None)
             await stream.close()
 
-    async def _make_room(self) -> None:
-        """Close the oldest connection without a checked token if there are too many."""
-        if len(self._unverified) >= MAX_UNVERIFIED_CONNECTIONS:
-            oldest = self._unverified.pop(next(iter(self._unverified)))
-            await oldest.cancel(exc=_Displaced, blocking=False)
-
     async def _serve(self, stream: WatchedStream) -> None:
-        await self._make_room()
-        self._unverified[stream] = await curio.current_task()
         hello = Hello(
             self._local_host,
             self._cfg.token,
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -15,6 +15,7 @@
 from sassafraskeel.calls.request_tracker import RequestTracker
 from sassafraskeel.calls.sheet_calls import SheetCalls, SheetSenders
 from sassafraskeel.calls.sheet_placement import SheetPlacement
+from sassafraskeel.core.capacity import host_capacity, limit_capacity
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.events import Event
 from sassafraskeel.core.held_memory import MemoryBudget
@@ -184,7 +185,12 @@
             self.installed, self.links, self._group, env.log
         )
         self._build_membership_updater()
-        memory = MemoryBudget(cfg.callers.max_held_bytes)
+        capacity = limit_capacity(
+            host_capacity(cfg.host.memory_mb * 1e6, cfg.host.descriptors),
+            cfg.callers.max_connections,
+            cfg.callers.max_held_bytes,
+        )
+        memory = MemoryBudget(capacity.held_bytes)
         self._gateway_server = GatewayServer(
             cfg.gateways,
             env.clock,
@@ -204,7 +210,7 @@
         )
         self._caller_server = CallerServer(
             cfg.callers.listen,
-            cfg.callers.max_connections,
+            capacity.callers,
             env.clock,
             env.network,
             env.rng,
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -14,6 +14,7 @@
 from sassafraskeel.calls.route_placement import RoutePlacement
 from sassafraskeel.calls.routing_state import RoutingState
 from sassafraskeel.calls.stream_versions import StreamVersions
+from sassafraskeel.core.capacity import host_capacity, limit_capacity
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import TimedOut
 from sassafraskeel.core.events import Event
@@ -87,6 +88,10 @@
 # Time to close before the platform kills the host at the end of the grace period.
 GRACE_MARGIN_SECONDS = 0.5
 DRAIN_NOTICE_TIMEOUT_SECONDS = 0.5
+# The platform checks the readiness once a second, and idle connections are closed after
+# 15 s.
+MAX_READINESS_CONNECTIONS = 32
+MAX_METRICS_CONNECTIONS = 16
 
 
 class Interfaces(NamedTuple):
@@ -142,7 +147,12 @@
         self.request_tracker = RequestTracker()
         self.metrics = Metrics(env.clock)
         self._recorder = CallRecorder(env.clock, env.log, self.metrics)
-        self._memory = MemoryBudget(cfg.callers.max_held_bytes)
+        self._capacity = limit_capacity(
+            host_capacity(cfg.host.memory_mb * 1e6, cfg.host.descriptors),
+            cfg.callers.max_connections,
+            cfg.callers.max_held_bytes,
+        )
+        self._memory = MemoryBudget(self._capacity.held_bytes)
         self.loads = ReplicaLoads()
         self.prompt_caches = PromptCaches()
         self._routing_state = RoutingState(
@@ -372,18 +382,27 @@
         )
         interfaces = env.interfaces(self)
         metrics = MetricsInterface(self._metrics_text)
-        self._caller_server = self._build_server(cfg.listen.callers, interfaces.callers)
+        capacity = self._capacity
+        self._caller_server = self._build_server(
+            cfg.listen.callers, capacity.callers, interfaces.callers
+        )
         self._auxiliary_servers = [
-            self._build_server(cfg.listen.directory, interfaces.directory),
-            self._build_server(cfg.listen.readiness, interfaces.readiness),
+            self._build_server(
+                cfg.listen.directory, capacity.directory, interfaces.directory
+            ),
+            self._build_server(
+                cfg.listen.readiness, MAX_READINESS_CONNECTIONS, interfaces.readiness
+            ),
         ]
-        self._metrics_server = self._build_server(cfg.listen.metrics, metrics)
+        self._metrics_server = self._build_server(
+            cfg.listen.metrics, MAX_METRICS_CONNECTIONS, metrics
+        )
 
-    def _build_server(self, listen, interface) -> CallerServer:
+    def _build_server(self, listen, max_connections, interface) -> CallerServer:
         env = self._env
         return CallerServer(
             listen,
-            self.cfg.callers.max_connections,
+            max_connections,
             env.clock,
             env.network,
             env.rng,
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -163,17 +163,30 @@
     @with_world
     async def test_too_many_connections(self, world):
         """Guards against callers that use up all connections of a host."""
-        streams = [await dial(world, 2) for _ in range(2070)]
+        streams = []
+        for _ in range(2260):
+            streams.append(await dial(world, 2))
+            await streams[-1].write(b"G")
         await world.clock.sleep(0.5)
         answer = await read_all(world, streams[2000])
         self.assertIn(b" 429 ", answer)
         self.assertIn(b"retry-after: 1", answer)
-        self.assertEqual(await read_all(world, streams[2069]), b"")
+        self.assertEqual(await read_all(world, streams[2259]), b"")
         for stream in streams:
             await stream.close()
         await world.clock.sleep(0.5)
         self.assertEqual((await world.call(2, "GET", "/health"))[0].status, 200)
 
+    @with_world
+    async def test_silent_connections(self, world):
+        """Guards against connections that send nothing and keep all others out."""
+        streams = [await dial(world, 2) for _ in range(2000)]
+        await world.clock.sleep(0.5)
+        self.assertEqual((await world.call(2, "GET", "/health"))[0].status, 200)
+        self.assertEqual(await read_all(world, streams[0]), b"")
+        for stream in streams:
+            await stream.close()
+
     @with_world
     async def test_pipelined_requests(self, world):
         """Guards against answers that are lost or swapped on one connection."""
