Bound the short chunks of all requests together

Cause: each request may cause 4,096 pieces of work at once, about 48 ms of the processor, whatever the others cause; what had arrived of connections that were closed was parsed as well.

Change: the requests of all callers share a limit of 16,384 pieces and 8,000 a second, a tenth of the smallest processor. The first 64 pieces of a request don't count, so that ordinary ones never meet it. A request beyond it is refused (503, not run, Retry-After 1 s).

Result: of twelve such bodies in test_short_chunks_of_many_callers at most eight are parsed; without the shared limit all twelve are, and the test fails.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -41,6 +41,7 @@
     is_cancelled_with_caller,
 )
 from sassafraskeel.core.watched_stream import PeerLeft, WatchedStream
+from sassafraskeel.core.work_limits import WorkLimit
 
 # The share of connections over the limit that are answered by a refusal; any beyond
 # them are closed without an answer.
@@ -66,15 +67,16 @@
     request_tracker: RequestTracker
     recorder: CallRecorder | None
     memory: MemoryBudget
+    work: WorkLimit
 
 
 class CallerConnection:
     """A connection of a caller, with the method and id of its current request."""
 
-    def __init__(self, accepted: Stream, clock: Clock, memory: MemoryBudget):
-        self.held = memory.hold()
+    def __init__(self, accepted: Stream, clock: Clock, components: CallerComponents):
+        self.held = components.memory.hold()
         self.stream = WatchedStream(accepted)
-        self.http = HttpConnection(self.stream, h11.SERVER, clock)
+        self.http = HttpConnection(self.stream, h11.SERVER, clock, components.work)
         self.method = b""
         self.idle = False
         self.idle_since = clock.monotonic()
@@ -195,7 +197,7 @@
             await self._tasks[conn].cancel(blocking=False)
 
     async def _handle_connection(self, accepted: Stream) -> None:
-        conn = CallerConnection(accepted, self._clock, self._components.memory)
+        conn = CallerConnection(accepted, self._clock, self._components)
         self._tasks[conn] = await curio.current_task()
         try:
             if self._connection_count > self._max_connections:
--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -6,11 +6,17 @@
 import h11
 
 from sassafraskeel.core.clock import Clock
-from sassafraskeel.core.errors import AnswerTruncated, ProtocolError
+from sassafraskeel.core.errors import (
+    AnswerTruncated,
+    ProtocolError,
+    Reason,
+    not_run_refusal,
+)
 from sassafraskeel.core.net import Stream
 from sassafraskeel.core.types import Headers, ResponseHead
 from sassafraskeel.core.work_limits import (
     ANSWER_WORK,
+    FREE_PIECES,
     REQUEST_WORK,
     WorkLimit,
     count_overhead,
@@ -21,6 +27,8 @@
 # Chunks that are parsed before other tasks get their turn. Chunks of one byte cost as
 # much as long ones.
 MAX_CHUNKS_IN_TURN = 64
+# Until a request with short chunks has a chance beside those of other callers.
+RETRY_SECONDS = 1.0
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -60,9 +68,14 @@
 
 
 class HttpConnection:
-    """An HTTP connection: the h11 state machine and the underlying stream."""
+    """An HTTP connection: the h11 state machine and the underlying stream.
+
+    `shared_work` is the limit that it shares with other connections, if there is one.
+    """
 
-    def __init__(self, stream: Stream, role, clock: Clock):
+    def __init__(
+        self, stream: Stream, role, clock: Clock, shared_work: WorkLimit | None = None
+    ):
         self.stream = stream
         self._clock = clock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
@@ -74,6 +87,8 @@
         self._uncounted_bytes = 0
         self._work_rate = REQUEST_WORK if role is h11.SERVER else ANSWER_WORK
         self._work_limit = WorkLimit(self._work_rate, clock.monotonic())
+        self._shared_work = shared_work
+        self._pieces = 0.0
 
     async def next_event(self):
         """Return the next h11 event.
@@ -136,6 +151,7 @@
         """Start the count of a message; what follows its head may have arrived."""
         self._uncounted_bytes = 0
         self._work_limit = WorkLimit(self._work_rate, self._clock.monotonic())
+        self._pieces = 0.0
 
     def _count_overhead(self) -> None:
         if self._uncounted_bytes > 0:
@@ -143,8 +159,17 @@
             self._spend(count_overhead(overhead))
 
     def _spend(self, pieces: float) -> None:
-        if not self._work_limit.spend(pieces, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if not self._work_limit.spend(pieces, now):
             raise ProtocolError("too many short chunks, or bytes that are no content")
+        self._pieces += pieces
+        counted = min(pieces, self._pieces - FREE_PIECES)
+        if self._shared_work is None or counted <= 0:
+            return
+        if not self._shared_work.spend(counted, now):
+            raise not_run_refusal(
+                Reason.OVERLOADED, "too many short chunks of all callers", RETRY_SECONDS
+            )
 
     def expect_another_answer(self, method: str) -> None:
         """Let the next message that arrives be an answer to the request as well."""
--- a/sassafraskeel/core/work_limits.py
+++ b/sassafraskeel/core/work_limits.py
@@ -21,10 +21,16 @@
 ANSWER_WORK = WorkRate(16_384, 2000.0)
 # Clients send bodies in chunks of some KB, of which the limit of a body allows few.
 REQUEST_WORK = WorkRate(4096, 1000.0)
+# For the requests of all connections together. A piece costs about 12 us, so that this
+# is a tenth of the smallest processor.
+ALL_REQUESTS_WORK = WorkRate(16_384, 8000.0)
+# The first pieces of each request don't count in ALL_REQUESTS_WORK. They cost less than
+# the request itself.
+FREE_PIECES = 64
 
 
 class WorkLimit:
-    """The work that one message may still cause; `now` is in monotonic seconds."""
+    """The work that may still be caused; `now` is in monotonic seconds."""
 
     def __init__(self, rate: WorkRate, now: float):
         self._rate = rate
@@ -32,13 +38,24 @@
         self._updated_at = now
 
     def spend(self, pieces: float, now: float) -> bool:
-        """Take pieces from the allowance; return whether there were enough."""
+        """Take pieces from the allowance; return whether there were enough.
+
+        Pieces beyond it are owed, up to a burst.
+        """
+        burst = self._rate.burst
         earned = (now - self._updated_at) * self._rate.per_second
-        self._allowance = min(self._allowance + earned, self._rate.burst) - pieces
+        left = min(self._allowance + earned, burst) - pieces
+        self._allowance = max(left, -burst)
         self._updated_at = now
         return self._allowance >= 0
 
 
+def all_requests_work(processor: float) -> WorkRate:
+    """Return the rate for all requests; 1.0 stands for the smallest processor."""
+    burst, per_second = ALL_REQUESTS_WORK
+    return WorkRate(burst, per_second * processor)
+
+
 def count_pieces(count: int, size: int) -> float:
     """Return what some chunks or events with `size` bytes in all count as."""
     return max(count - size / FULL_PIECE_BYTES, 0.0)
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -26,6 +26,7 @@
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.core.types import HostInfo
+from sassafraskeel.core.work_limits import ALL_REQUESTS_WORK, WorkLimit
 from sassafraskeel.decisions.domains import DomainHosts
 from sassafraskeel.decisions.estimates import UpstreamEstimates
 from sassafraskeel.decisions.ledger import Ledger
@@ -221,6 +222,7 @@
                 self.request_tracker,
                 self._recorder,
                 memory,
+                WorkLimit(ALL_REQUESTS_WORK, env.clock.monotonic()),
             ),
         )
         self._operator_server = OperatorServer(
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -26,6 +26,7 @@
 from sassafraskeel.core.tasks import SupervisedTaskGroup
 from sassafraskeel.core.turns import TurnTimer
 from sassafraskeel.core.types import HostInfo
+from sassafraskeel.core.work_limits import WorkLimit, all_requests_work
 from sassafraskeel.decisions.call_costs import CallCosts
 from sassafraskeel.decisions.coordination import Coordination
 from sassafraskeel.decisions.crash_evidence import CrashEvidence
@@ -153,6 +154,8 @@
             cfg.callers.max_held_bytes,
         )
         self._memory = MemoryBudget(self._capacity.held_bytes)
+        work = all_requests_work(cfg.host.cpu_share * cfg.host.cores)
+        self._request_work = WorkLimit(work, env.clock.monotonic())
         self.loads = ReplicaLoads()
         self.prompt_caches = PromptCaches()
         self._routing_state = RoutingState(
@@ -413,6 +416,7 @@
                 self.request_tracker,
                 self._recorder,
                 self._memory,
+                self._request_work,
             ),
         )
 
--- a/tests/test_hostile_bytes.py
+++ b/tests/test_hostile_bytes.py
@@ -17,12 +17,15 @@
     FAST_DROP_BYTES,
     wait_for_close,
 )
+from sassafraskeel.core.work_limits import ALL_REQUESTS_WORK, FREE_PIECES
 from tests.support.clock import run_virtual
 from tests.support.network import deliver, stream_pair
 from tests.support.raw_server import answer_head
 from tests.support.routes import HOST, with_routes
 from tests.test_route_faults import KIB, STREAM_HEADERS, chunk, replace_replicas
 
+# Below the limit of a single request.
+SHORT_CHUNKS = 4000
 MIB = 1024 * KIB
 REQUEST_HEAD = (
     f"POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\n"
@@ -157,6 +160,32 @@
         head, _ = await world.call("/read/1")
         self.assertEqual(head.status, 200)
 
+    @with_routes
+    async def test_short_chunks_of_many_callers(self, world):
+        """Guards against bodies that each cause little work, and all of them too much.
+
+        Before, the host parsed all of them: 1,900 such bodies kept it from an ordinary
+        order for more than its deadline (issue 51).
+        """
+        listener = world.hosts[0].cfg.listen.callers
+        streams = [await world.network.connect(listener) for _ in range(12)]
+        for stream in streams:
+            await stream.write(REQUEST_HEAD + chunk(b"a") * SHORT_CHUNKS)
+        await world.clock.sleep(0.5)
+        refused = [bytes(stream._buffer) for stream in streams if stream._buffer]
+        for stream in streams:
+            await stream.close()
+        for answer in refused:
+            self.assertIn(b"HTTP/1.1 503", answer)
+        allowed = 2 * ALL_REQUESTS_WORK.burst + FREE_PIECES * len(streams)
+        most = allowed / SHORT_CHUNKS
+        self.assertLessEqual(len(streams) - len(refused), most)
+        self.assertGreater(len(refused), 0)
+        # A request with as many chunks as requests have is served beside them.
+        stream = await world.network.connect(listener)
+        await stream.write(REQUEST_HEAD + chunk(b"a") * FREE_PIECES + b"0\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 200", await stream.read())
+
     def test_dropped_bytes(self):
         """Guards against a host that drops bytes without end at full speed."""
 
