Refuse bodies that are announced beyond the limit at once

What callers saw: a request that announces 10 GB was told to go on (100 Continue), and up to the limit of the manifest was read, before it got 413.

Cause: Content-Length was compared with the memory budget, which takes a body of any length while it is empty, and not with maxBodyBytes.

Change: it is, before 100 Continue and before any of the body is read.

Result: test_announced_beyond_the_limit got "100" without the check, and passes.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -30,6 +30,7 @@
     receive_body,
     receive_request,
     send_with_timeout,
+    too_large_refusal,
     wait_for_request,
 )
 from sassafraskeel.core.log import LogSink
@@ -322,11 +323,13 @@
         call = interface.read_call(request, record.call_id, now)
         call = record.call = call._replace(held=conn.held)
         dispatcher.check(call)
-        length = find_header(request.headers, b"content-length")
-        conn.held.check(int(length or 0))
+        limits, max_bytes = interface.limits(), interface.max_body_bytes()
+        length = int(find_header(request.headers, b"content-length") or 0)
+        if length > max_bytes:
+            raise too_large_refusal(max_bytes)
+        conn.held.check(length)
         if http.h11.they_are_waiting_for_100_continue:
             await http.send(h11.InformationalResponse(status_code=100, headers=[]))
-        limits, max_bytes = interface.limits(), interface.max_body_bytes()
         body = await receive_body(http, self._clock, limits, max_bytes, conn.held.add)
         await self._run_call(conn, record, body)
 
--- a/sassafraskeel/core/http_requests.py
+++ b/sassafraskeel/core/http_requests.py
@@ -106,12 +106,17 @@
     except ProtocolError as exc:
         raise protocol_error_refusal(exc) from exc
     if body is None:
-        raise not_run_refusal(
-            Reason.TOO_LARGE, f"the body is longer than {max_bytes} bytes"
-        )
+        raise too_large_refusal(max_bytes)
     return body
 
 
+def too_large_refusal(max_bytes: int) -> Refusal:
+    """Return the refusal of a request with a body over the limit."""
+    return not_run_refusal(
+        Reason.TOO_LARGE, f"the body is longer than {max_bytes} bytes"
+    )
+
+
 async def send_with_timeout(
     http: HttpConnection, clock: Clock, seconds: float, *events
 ) -> None:
--- a/tests/test_hostile_bytes.py
+++ b/tests/test_hostile_bytes.py
@@ -186,6 +186,19 @@
         await stream.write(REQUEST_HEAD + chunk(b"a") * FREE_PIECES + b"0\r\n\r\n")
         self.assertIn(b"HTTP/1.1 200", await stream.read())
 
+    @with_routes
+    async def test_announced_beyond_the_limit(self, world):
+        """Guards against a caller that is told to send a body which is refused."""
+        stream = await world.network.connect(world.hosts[0].cfg.listen.callers)
+        head = REQUEST_HEAD.replace(
+            b"Transfer-Encoding: chunked",
+            b"Content-Length: 65537\r\nExpect: 100-continue",
+        )
+        await stream.write(head)
+        answer = await stream.read()
+        await stream.close()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+
     def test_dropped_bytes(self):
         """Guards against a host that drops bytes without end at full speed."""
 
