Give the memory of a refused request back before its connection lingers

Cause: what a request holds was given back with its connection, up to a second after the host had dropped it, so that a crowd that is refused kept the budget from other requests for longer than the memory. Found by reading.

Change: it is given back before the rest of the request is read and dropped. A change of the buffers of a connection that another task has closed does nothing, in place of an OSError.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -208,6 +208,7 @@
                 conn.http.h11.start_next_cycle()
             if conn.idle:
                 return  # A request that arrives during the close was not read.
+            conn.held.clear()
             async with self._components.request_tracker:
                 await linger(conn.http, conn.stream, self._clock)
         except (SassafraskeelError, PeerLeft) as exc:
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -104,7 +104,7 @@
         """Close the connection so that the peer does not take it for a clean end."""
 
     def set_buffers(self, buffers: BufferSizes) -> None:
-        """Ask the kernel for larger buffers."""
+        """Ask the kernel for larger buffers; after a close this does nothing."""
 
 
 async def drop_data(stream: Stream, clock: Clock, max_bytes: float) -> None:
@@ -261,7 +261,8 @@
             await self.close()
 
     def set_buffers(self, buffers: BufferSizes) -> None:
-        _set_buffers(self._sock, buffers)
+        if not self._closed:
+            _set_buffers(self._sock, buffers)
 
 
 class TcpListener:
