--- /dev/null
+++ b/sassafraskeel/callers/connection.py
@@ -0,0 +1,72 @@
+"""A connection of a caller, with what is known of it while it is served."""
+
+from typing import NamedTuple
+
+import curio
+import h11
+
+from sassafraskeel.callers.interface import CallerInterface
+from sassafraskeel.calls.record import CallDispatcher, CallRecorder
+from sassafraskeel.calls.request_tracker import RequestTracker
+from sassafraskeel.core.clock import Clock
+from sassafraskeel.core.held_memory import MemoryBudget
+from sassafraskeel.core.http import HttpConnection
+from sassafraskeel.core.net import Stream
+from sassafraskeel.core.watched_stream import WatchedStream
+from sassafraskeel.core.work_limits import WorkLimit
+
+# The state of a curio task that runs as soon as the tasks before it have blocked.
+READY_STATE = "READY"
+
+
+class AnswerNotTaken(curio.CancelledError):
+    """Cancels a task whose caller takes no answer while others need its room."""
+
+
+class CallerComponents(NamedTuple):
+    """The components of a caller server; it serves no calls without a dispatcher."""
+
+    interface: CallerInterface
+    dispatcher: CallDispatcher | None
+    request_tracker: RequestTracker
+    recorder: CallRecorder | None
+    memory: MemoryBudget
+    work: WorkLimit
+
+
+class CallerConnection:
+    """A connection of a caller, with the method and id of its current request."""
+
+    def __init__(self, accepted: Stream, clock: Clock, components: CallerComponents):
+        self.held = components.memory.hold()
+        self.stream = WatchedStream(accepted)
+        self.http = HttpConnection(self.stream, h11.SERVER, clock, components.work)
+        self.method = b""
+        self.idle = False
+        self.idle_since = clock.monotonic()
+        self.call_id = ""
+        # When the current part of an answer began to wait for the caller, or None.
+        self.sending_since: float | None = None
+
+    def has_answer_begun(self) -> bool:
+        """Return whether the head of the current answer has been sent."""
+        return self.http.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def is_answer_close_delimited(self) -> bool:
+        """Return whether a close would now end an unfinished answer as complete.
+
+        Callers that speak HTTP/1.0 know no chunks, so that the end of the connection
+        ends a stream.
+        """
+        state = self.http.h11
+        is_old = (state.their_http_version or b"1.1") < b"1.1"
+        return is_old and state.our_state is h11.SEND_BODY
+
+
+def is_idle(conn: CallerConnection, task: curio.Task) -> bool:
+    """Return whether a connection waits for a request, of which nothing has arrived.
+
+    A task that is ready may have bytes of a request to read. It would be cancelled at
+    its next blocking operation, in the middle of that call.
+    """
+    return conn.idle and task.state != READY_STATE
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -1,15 +1,19 @@
 """The HTTP server for callers, with one task for each connection."""
 
 import random
-from typing import NamedTuple
 
 import curio
 import h11
 
-from sassafraskeel.callers.interface import CallerInterface, DirectAnswer
+from sassafraskeel.callers.connection import (
+    AnswerNotTaken,
+    CallerComponents,
+    CallerConnection,
+    is_idle,
+)
+from sassafraskeel.callers.interface import DirectAnswer
 from sassafraskeel.calls.answers import SERVED_BY_HEADER
-from sassafraskeel.calls.record import CallDispatcher, CallRecord, CallRecorder
-from sassafraskeel.calls.request_tracker import RequestTracker
+from sassafraskeel.calls.record import CallRecord
 from sassafraskeel.core.accepting import accept_next, listen_when_free
 from sassafraskeel.core.clock import Clock
 from sassafraskeel.core.errors import (
@@ -23,8 +27,7 @@
     unknown_outcome_refusal,
 )
 from sassafraskeel.core.events import Event
-from sassafraskeel.core.held_memory import MemoryBudget
-from sassafraskeel.core.http import HttpConnection, find_header, response_events
+from sassafraskeel.core.http import find_header, response_events
 from sassafraskeel.core.http_requests import (
     linger,
     receive_body,
@@ -41,14 +44,11 @@
     ResponseHead,
     is_cancelled_with_caller,
 )
-from sassafraskeel.core.watched_stream import PeerLeft, WatchedStream
-from sassafraskeel.core.work_limits import WorkLimit
+from sassafraskeel.core.watched_stream import PeerLeft
 
 # The share of connections over the limit that are answered by a refusal; any beyond
 # them are closed without an answer.
 REFUSED_SHARE = 0.125
-# The state of a curio task that runs as soon as the tasks before it have blocked.
-READY_STATE = "READY"
 # The longest part of an answer that is sent at once. A caller that takes its answer
 # takes a part in a round trip, which is 0.16 s between regions.
 SEND_SLICE_BYTES = 16 * 1024
@@ -56,59 +56,6 @@
 CLOSE_HEADER = (b"connection", b"close")
 
 
-class AnswerNotTaken(curio.CancelledError):
-    """Cancels a task whose caller takes no answer while others need its room."""
-
-
-class CallerComponents(NamedTuple):
-    """The components of a caller server; it serves no calls without a dispatcher."""
-
-    interface: CallerInterface
-    dispatcher: CallDispatcher | None
-    request_tracker: RequestTracker
-    recorder: CallRecorder | None
-    memory: MemoryBudget
-    work: WorkLimit
-
-
-class CallerConnection:
-    """A connection of a caller, with the method and id of its current request."""
-
-    def __init__(self, accepted: Stream, clock: Clock, components: CallerComponents):
-        self.held = components.memory.hold()
-        self.stream = WatchedStream(accepted)
-        self.http = HttpConnection(self.stream, h11.SERVER, clock, components.work)
-        self.method = b""
-        self.idle = False
-        self.idle_since = clock.monotonic()
-        self.call_id = ""
-        # When the current part of an answer began to wait for the caller, or None.
-        self.sending_since: float | None = None
-
-    def has_answer_begun(self) -> bool:
-        """Return whether the head of the current answer has been sent."""
-        return self.http.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
-
-    def is_answer_close_delimited(self) -> bool:
-        """Return whether a close would now end an unfinished answer as complete.
-
-        Callers that speak HTTP/1.0 know no chunks, so that the end of the connection
-        ends a stream.
-        """
-        state = self.http.h11
-        is_old = (state.their_http_version or b"1.1") < b"1.1"
-        return is_old and state.our_state is h11.SEND_BODY
-
-
-def _is_idle(conn: CallerConnection, task: curio.Task) -> bool:
-    """Return whether a connection waits for a request, of which nothing has arrived.
-
-    A task that is ready may have bytes of a request to read. It would be cancelled at
-    its next blocking operation, in the middle of that call.
-    """
-    return conn.idle and task.state != READY_STATE
-
-
 class CallerServer:
     """Accepts the connections of callers and answers their requests."""
 
@@ -158,7 +105,7 @@
         while unchecked:
             ready = []
             for conn, task in unchecked:
-                if _is_idle(conn, task):
+                if is_idle(conn, task):
                     await task.cancel(blocking=False)
                 elif conn.idle:
                     ready.append((conn, task))
@@ -191,7 +138,7 @@
         Otherwise connections that send nothing keep all others out. Clients send their
         request at once, or again if their connection was closed before.
         """
-        idle = [conn for conn, task in self._tasks.items() if _is_idle(conn, task)]
+        idle = [conn for conn, task in self._tasks.items() if is_idle(conn, task)]
         if idle:
             conn = min(idle, key=lambda conn: conn.idle_since)
             conn.idle = False
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -6,7 +6,8 @@
 
 import curio
 
-from sassafraskeel.callers.server import CallerComponents, CallerServer
+from sassafraskeel.callers.connection import CallerComponents
+from sassafraskeel.callers.server import CallerServer
 from sassafraskeel.callers.sheet_interface import SheetInterface
 from sassafraskeel.calls.model_streams import ResumingHostClient
 from sassafraskeel.calls.orders import OrderExecutor
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -4,8 +4,9 @@
 from functools import partial
 from typing import NamedTuple, Protocol
 
+from sassafraskeel.callers.connection import CallerComponents
 from sassafraskeel.callers.interface import CallerInterface, MetricsInterface
-from sassafraskeel.callers.server import CallerComponents, CallerServer
+from sassafraskeel.callers.server import CallerServer
 from sassafraskeel.calls.crash_guard import CrashGuard, FeatureHasher
 from sassafraskeel.calls.record import CallRecorder
 from sassafraskeel.calls.replica_states import ReplicaStates
