Let the limit on unverified peers follow from the machine, too

Cause: 64 connections without a checked token are few for a fleet that starts at once: a region of 32 hosts dials its coordinator within 0.3 s, and each host keeps spare connections to two hosts of each other region, whose handshakes take 0.3 s between regions. A displaced peer has to dial again. Found by reading, not seen.

Result: tests.test_capacity checks the sum; test_unauthorized_links and test_silent_connections pass.

--- a/sassafraskeel/core/capacity.py
+++ b/sassafraskeel/core/capacity.py
@@ -18,20 +18,23 @@
 FILE_DESCRIPTORS = 200
 # Of the other ones; the rest is for hosts, replicas and the store.
 SOCKET_SHARE = 0.5
-# Of the connections of clients.
-CALLER_SHARE = 0.8
-DIRECTORY_SHARE = 0.2
+# Of all these connections.
+CALLER_SHARE = 0.7
+DIRECTORY_SHARE = 0.15
+UNVERIFIED_SHARE = 0.15
 MIN_CONNECTIONS = 8
 
 
 class Capacity(NamedTuple):
-    """The connections of callers and of the directory, and the bytes that may be held.
+    """The connections that a host takes, and the bytes that these may hold.
 
+    `unverified` are connections of other hosts whose token has not been checked yet;
     `held_bytes` is the limit of core.held_memory.MemoryBudget.
     """
 
     callers: int
     directory: int
+    unverified: int
     held_bytes: int
 
 
@@ -45,6 +48,7 @@
     return Capacity(
         max(int(CALLER_SHARE * connections), MIN_CONNECTIONS),
         max(int(DIRECTORY_SHARE * connections), MIN_CONNECTIONS),
+        max(int(UNVERIFIED_SHARE * connections), MIN_CONNECTIONS),
         int((1 - CONNECTION_SHARE) * spare / HELD_COPIES),
     )
 
@@ -52,11 +56,12 @@
 def limit_capacity(
     capacity: Capacity, max_connections: int, max_held_bytes: int
 ) -> Capacity:
-    """Return a capacity within the settings, with the same share of the directory."""
+    """Return a capacity within the settings; the other connections keep their share."""
     callers = min(capacity.callers, max_connections)
     share = callers / capacity.callers
     return Capacity(
         callers,
         max(int(share * capacity.directory), MIN_CONNECTIONS),
+        max(int(share * capacity.unverified), MIN_CONNECTIONS),
         min(capacity.held_bytes, max_held_bytes),
     )
--- a/sassafraskeel/gateways/server.py
+++ b/sassafraskeel/gateways/server.py
@@ -57,9 +57,6 @@
 from sassafraskeel.gateways.route_forwarding import route_offer_to_call
 
 MAX_CONTROL_LINKS = 512
-# Connections whose token has not been checked yet; a peer sends it in its first round
-# trips. For a further one, the oldest is closed.
-MAX_UNVERIFIED_CONNECTIONS = 64
 # The upper bound of the setting max_body_bytes of callers.
 MAX_FORWARDED_BODY_BYTES = 64 * 1024 * 1024
 BODY_TIMEOUT_SECONDS = 30.0
@@ -76,7 +73,9 @@
     """The parts of a host that serve the requests of other hosts.
 
     `manifest` returns the document of the manifest in force, b"" if there is none.
-    `features` are the names in hellos, separated by spaces (see messages.Hello).
+    `features` are the names in hellos, separated by spaces (see messages.Hello). For
+    more than `max_unverified` connections whose token has not been checked yet, the
+    oldest is closed; a peer sends its token in its first round trips.
     """
 
     dispatcher: CallDispatcher
@@ -84,6 +83,7 @@
     recorder: CallRecorder
     requests: RequestHandler
     memory: MemoryBudget
+    max_unverified: int
     manifest: Callable[[], bytes] = bytes
     features: str = ""
 
@@ -147,7 +147,7 @@
                 )
                 await stream.close()
                 continue
-            if len(self._unverified) >= MAX_UNVERIFIED_CONNECTIONS:
+            if len(self._unverified) >= self._components.max_unverified:
                 oldest = self._unverified.pop(next(iter(self._unverified)))
                 await oldest.cancel(exc=_Displaced)
             self._open_connections += 1
--- a/sassafraskeel/host.py
+++ b/sassafraskeel/host.py
@@ -204,6 +204,7 @@
                 self._recorder,
                 self.links,
                 memory,
+                capacity.unverified,
             ),
             self._sheet_version,
         )
--- a/sassafraskeel/route_host.py
+++ b/sassafraskeel/route_host.py
@@ -378,6 +378,7 @@
                 self._recorder,
                 self._links,
                 self._memory,
+                self._capacity.unverified,
                 lambda: self.follower.manifest_document,
                 FEATURE,
             ),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,7 +22,9 @@
         for memory, descriptors in MACHINES:
             with self.subTest(memory=memory):
                 capacity = host_capacity(memory, descriptors)
-                connections = capacity.callers + capacity.directory
+                connections = (
+                    capacity.callers + capacity.directory + capacity.unverified
+                )
                 held = HELD_COPIES * capacity.held_bytes
                 used = HOST_BYTES + connections * CONNECTION_BYTES + held
                 self.assertLessEqual(used, memory)
@@ -36,4 +38,5 @@
         limited = limit_capacity(capacity, capacity.callers // 2, 1000)
         self.assertEqual(limited.callers, capacity.callers // 2)
         self.assertAlmostEqual(limited.directory, capacity.directory / 2, delta=1)
+        self.assertAlmostEqual(limited.unverified, capacity.unverified / 2, delta=1)
         self.assertEqual(limited.held_bytes, 1000)
