Refuse stalled bodies while another request needs their room

What callers saw: bodies that stop short of their end kept the memory budget for up to 30 s.

Cause: only the time limit of a body gave its room back.

Change: a request without room has the body that waited longest for its caller refused (503, not run), if that was over a second; answers keep their 0.3 s for a part. A task that is ready is left alone: its cancellation would be raised later, after its body was complete.

--- a/sassafraskeel/callers/connection.py
+++ b/sassafraskeel/callers/connection.py
@@ -23,6 +23,22 @@
     """Cancels a task whose caller takes no answer while others need its room."""
 
 
+class BodyNotSent(curio.CancelledError):
+    """Cancels a task whose caller sends no more of its body while others need room."""
+
+
+class CallerWait(NamedTuple):
+    """A wait for a caller to send or take data, since a time in monotonic seconds.
+
+    The caller has stalled after `limit` seconds; its task is then cancelled with
+    `cancellation` if others need room.
+    """
+
+    since: float
+    limit: float
+    cancellation: type[curio.CancelledError]
+
+
 class CallerComponents(NamedTuple):
     """The components of a caller server; it serves no calls without a dispatcher."""
 
@@ -45,8 +61,8 @@
         self.idle = False
         self.idle_since = clock.monotonic()
         self.call_id = ""
-        # When the current part of an answer began to wait for the caller, or None.
-        self.sending_since: float | None = None
+        # What the caller is expected to do now, or None.
+        self.wait: CallerWait | None = None
 
     def has_answer_begun(self) -> bool:
         """Return whether the head of the current answer has been sent."""
@@ -70,3 +86,13 @@
     its next blocking operation, in the middle of that call.
     """
     return conn.idle and task.state != READY_STATE
+
+
+def has_stalled(conn: CallerConnection, task: curio.Task, now: float) -> bool:
+    """Return whether a connection waits for a caller that has stalled.
+
+    A task that is ready would be cancelled later, as for an idle connection.
+    """
+    if conn.wait is None or task.state == READY_STATE:
+        return False
+    return now - conn.wait.since >= conn.wait.limit
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -7,8 +7,11 @@
 
 from sassafraskeel.callers.connection import (
     AnswerNotTaken,
+    BodyNotSent,
     CallerComponents,
     CallerConnection,
+    CallerWait,
+    has_stalled,
     is_idle,
 )
 from sassafraskeel.callers.interface import DirectAnswer
@@ -27,6 +30,7 @@
     unknown_outcome_refusal,
 )
 from sassafraskeel.core.events import Event
+from sassafraskeel.core.held_memory import no_room_refusal
 from sassafraskeel.core.http import find_header, response_events
 from sassafraskeel.core.http_requests import (
     linger,
@@ -53,6 +57,8 @@
 # takes a part in a round trip, which is 0.16 s between regions.
 SEND_SLICE_BYTES = 16 * 1024
 STALLED_SEND_SECONDS = 0.3
+# A caller that sends its body may miss some packets in a row.
+STALLED_BODY_SECONDS = 1.0
 CLOSE_HEADER = (b"connection", b"close")
 
 
@@ -81,7 +87,7 @@
         self._connection_count = 0
         self._tasks: dict[CallerConnection, curio.Task] = {}
         self._disconnected = curio.Event()
-        components.memory.on_shortage(self._close_stalled)
+        components.memory.on_shortage(self._cancel_stalled)
 
     async def listen(self):
         """Open the listener and return its address."""
@@ -230,6 +236,10 @@
             if isinstance(exc, PeerLeft):
                 self._log.emit(Event.CALLER_LEFT, call=call_id)
                 raise
+            conn.held.clear()
+            if isinstance(exc, BodyNotSent) and not record.dispatched:
+                await self._refuse(conn, no_room_refusal(), record)
+                return
             if isinstance(exc, AnswerNotTaken):
                 # Otherwise the kernel goes on to hold what was not taken.
                 await conn.stream.reset()
@@ -275,12 +285,28 @@
         length = int(find_header(request.headers, b"content-length") or 0)
         if length > max_bytes:
             raise too_large_refusal(max_bytes)
-        conn.held.check(length)
+        await conn.held.make_room(length)
         if http.h11.they_are_waiting_for_100_continue:
             await http.send(h11.InformationalResponse(status_code=100, headers=[]))
-        body = await receive_body(http, self._clock, limits, max_bytes, conn.held.add)
+        body = await self._receive_body(conn, limits, max_bytes)
         await self._run_call(conn, record, body)
 
+    async def _receive_body(self, conn: CallerConnection, limits, max_bytes) -> bytes:
+        def expect_data() -> None:
+            now = self._clock.monotonic()
+            conn.wait = CallerWait(now, STALLED_BODY_SECONDS, BodyNotSent)
+
+        async def count(size: int) -> None:
+            expect_data()
+            await conn.held.make_room(size)
+            conn.held.add(size)
+
+        expect_data()
+        try:
+            return await receive_body(conn.http, self._clock, limits, max_bytes, count)
+        finally:
+            conn.wait = None
+
     async def _run_call(self, conn, record: CallRecord, body: bytes) -> None:
         dispatcher = self._components.dispatcher
         async with conn.stream.watch(is_cancelled_with_caller(record.call)):
@@ -323,25 +349,24 @@
         try:
             for start in range(0, len(data), SEND_SLICE_BYTES):
                 part = h11.Data(data=data[start : start + SEND_SLICE_BYTES])
-                conn.sending_since = self._clock.monotonic()
+                now = self._clock.monotonic()
+                conn.wait = CallerWait(now, STALLED_SEND_SECONDS, AnswerNotTaken)
                 await self._send_events(conn, *head, part)
                 head = []
         finally:
-            conn.sending_since = None
+            conn.wait = None
 
-    async def _close_stalled(self) -> None:
-        """Close a connection whose caller keeps its answer waiting, the longest one."""
+    async def _cancel_stalled(self) -> None:
+        """Cancel the call whose caller has stalled for the longest time, if any."""
         now = self._clock.monotonic()
         stalled = [
-            conn
-            for conn in self._tasks
-            if conn.sending_since is not None
-            and now - conn.sending_since >= STALLED_SEND_SECONDS
+            conn for conn, task in self._tasks.items() if has_stalled(conn, task, now)
         ]
         if stalled:
-            conn = min(stalled, key=lambda conn: conn.sending_since)
-            conn.sending_since = None
-            await self._tasks[conn].cancel(exc=AnswerNotTaken, blocking=False)
+            conn = min(stalled, key=lambda conn: conn.wait.since)
+            cancellation, conn.wait = conn.wait.cancellation, None
+            await self._tasks[conn].cancel(exc=cancellation, blocking=False)
+            await curio.sleep(0)  # The task gives its memory back.
 
     async def _read_answer(self, answer, record: CallRecord, started: bool) -> bytes:
         try:
--- a/sassafraskeel/core/held_memory.py
+++ b/sassafraskeel/core/held_memory.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from sassafraskeel.core.clock import Clock
-from sassafraskeel.core.errors import Reason, TimedOut, not_run_refusal
+from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run_refusal
 
 # The first bytes of each request don't count, so that short ones are served while long
 # ones are refused.
@@ -28,7 +28,7 @@
         self._reclaimers: list[Callable[[], Awaitable[None]]] = []
 
     def on_shortage(self, reclaim: Callable[[], Awaitable[None]]) -> None:
-        """Call a function while an answer waits for room; it may make some."""
+        """Call a function when a request or an answer needs room; it may make some."""
         self._reclaimers.append(reclaim)
 
     async def reclaim(self) -> None:
@@ -58,9 +58,7 @@
     def check(self, size: int) -> None:
         """Raise Refusal (not run) if some more bytes have no room at present."""
         if not self._has_room(size):
-            raise not_run_refusal(
-                Reason.OVERLOADED, "too many long requests are held", RETRY_SECONDS
-            )
+            raise no_room_refusal()
 
     def _has_room(self, size: int) -> bool:
         counted = max(self._size + size - FREE_BYTES, 0)
@@ -72,6 +70,15 @@
         self.check(size)
         self._count(size)
 
+    async def make_room(self, size: int) -> None:
+        """Make room for further bytes of a request, if need be by ending a stalled one.
+
+        Raise Refusal (not run) if there is none all the same.
+        """
+        if not self._has_room(size):
+            await self._budget.reclaim()
+        self.check(size)
+
     async def add_in_time(self, size: int, clock: Clock, expires: float) -> None:
         """Count further bytes of an answer once there is room for them.
 
@@ -94,3 +101,10 @@
         """Give all bytes back."""
         self._budget.used -= self._counted
         self._counted = self._size = 0
+
+
+def no_room_refusal() -> Refusal:
+    """Return the refusal of a request that the host has no memory for."""
+    return not_run_refusal(
+        Reason.OVERLOADED, "too many long requests are held", RETRY_SECONDS
+    )
--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 connections over a Stream, for clients and servers, based on h11."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import curio
 import h11
@@ -194,7 +194,7 @@
             await self.stream.write(data)
 
     async def read_body(
-        self, max_bytes: int, on_data: Callable[[int], None] | None = None
+        self, max_bytes: int, on_data: Callable[[int], Awaitable[None]] | None = None
     ) -> bytes | None:
         """Return the complete body, or None as soon as it exceeds `max_bytes`.
 
@@ -207,7 +207,7 @@
             if size > max_bytes:
                 return None
             if on_data is not None:
-                on_data(len(data))
+                await on_data(len(data))
             parts.append(data)
         return b"".join(parts)
 
--- a/sassafraskeel/core/http_requests.py
+++ b/sassafraskeel/core/http_requests.py
@@ -6,7 +6,7 @@
 """
 
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import h11
@@ -90,7 +90,7 @@
     clock: Clock,
     timeouts: RequestTimeouts,
     max_bytes: int,
-    on_data: Callable[[int], None] | None = None,
+    on_data: Callable[[int], Awaitable[None]] | None = None,
 ) -> bytes:
     """Return the body of a request; raise Refusal if it is too long or too slow.
 
--- a/tests/test_held_bodies.py
+++ b/tests/test_held_bodies.py
@@ -100,6 +100,25 @@
         self.assertEqual(head.status, 200)
         self.assertEqual([world.runs(f"u-{number}") for number in range(4)], [0] * 4)
 
+    @with_routes
+    async def test_stalled_uploads(self, world):
+        """Guards against uploads that stop short of their end and keep others out."""
+        self.set_budget(world, 100_000)
+        framing = f"Content-Length: {LONG_BODY}"
+        stalled = [
+            await begin_upload(world, number, framing, bytes(LONG_BODY - 1))
+            for number in range(2)
+        ]
+        await world.clock.sleep(2)
+        stream = await begin_upload(world, 2, framing, bytes(LONG_BODY))
+        answer = await stream.read()
+        refused = [bytes(stream._buffer[:12]) for stream in stalled]
+        for other in (*stalled, stream):
+            await other.close()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertEqual(refused, [b"HTTP/1.1 503", b""])
+        self.assertEqual([world.runs(f"u-{number}") for number in range(3)], [0, 0, 1])
+
     @with_routes(world_options={"replica_zones": ("north-a", "north-a")})
     async def test_forwarded(self, world):
         """Guards against a host that takes any body from another one, and against
