Read what a host holds while its descriptors change

A descriptor that was closed between its listing and its reading counted as the end of the process, which holds nothing, so that the memory at rest was 0. A peak that falls on such a moment was missed.

Change: such a descriptor is left out.

--- a/tools/crowd.py
+++ b/tools/crowd.py
@@ -5,6 +5,7 @@
 what its connections send, not by how fast. It ends once nothing moves any more.
 """
 
+import contextlib
 import errno
 import os
 import selectors
@@ -250,9 +251,13 @@
     """Return what a process that listens on some ports holds."""
     try:
         status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-        links = [os.readlink(entry.path) for entry in os.scandir(f"/proc/{pid}/fd")]
+        entries = list(os.scandir(f"/proc/{pid}/fd"))
     except OSError:
         return Usage(0, 0, 0)
+    links = []
+    for entry in entries:
+        with contextlib.suppress(FileNotFoundError):  # Closed meanwhile.
+            links.append(os.readlink(entry.path))
     fields = [line.split() for line in status.splitlines()]
     resident = sum(int(field[1]) for field in fields if field[0] == "VmRSS:") * 1024
     inodes = {link[8:-1] for link in links if link.startswith("socket:[")}
