Don't raise a refusal as its own cause

Cause: run_attempts raised the refusal that holds for all attempts "from" the refusal that it handled, and mostly these are the same object. A refusal that is its own cause stays until a full collection, with the frames of its traceback: the call, its body and its connection. So does one in a local variable of a frame that it passes through.

Change: the refusal is raised after the loop, without a cause, and the frame drops it. A refusal during a close keeps its cause, which calls/stream_resumer.py looks at.

--- a/sassafraskeel/calls/attempts.py
+++ b/sassafraskeel/calls/attempts.py
@@ -147,7 +147,8 @@
         except Refusal as refusal:
             if failed_answer is not None:
                 return failed_answer
-            raise overall_refusal(last, refusal, history) from refusal
+            last = overall_refusal(last, refusal, history)
+            break
         except curio.TaskCancelled as exc:
             # The host closes while the call waits for a target; a caller that leaves
             # cancels its call with PeerLeft.
@@ -166,7 +167,8 @@
             if failed_answer is not None and not may_retry_answer:
                 return failed_answer
             if not policy.may_retry(call, refusal, history):
-                raise overall_refusal(last, refusal, history) from refusal
+                last = overall_refusal(last, refusal, history)
+                break
             continue
         if failed_answer is not None or not policy.may_retry_answer(
             call, answer, history
@@ -174,6 +176,12 @@
             return answer  # Most calls that fail twice fail at every target.
         history.penalized.add(target.name)
         failed_answer = answer
+    try:
+        raise last
+    finally:
+        # A refusal that is its own cause, or in a frame of its traceback, would keep
+        # what the call held until the next garbage collection.
+        del last
 
 
 def overall_refusal(
--- a/tests/test_released_tasks.py
+++ b/tests/test_released_tasks.py
@@ -10,8 +10,9 @@
 
 import curio
 
+from sassafraskeel.calls.attempts import AttemptHistory, Target, run_attempts
 from sassafraskeel.core.clock import SystemClock
-from sassafraskeel.core.errors import TimedOut
+from sassafraskeel.core.errors import Reason, Refusal, TimedOut, not_run_refusal
 from sassafraskeel.core.tasks import SupervisedTaskGroup, run_kernel
 
 
@@ -19,6 +20,24 @@
     """Stands for the body of a request."""
 
 
+class RefusingPolicy:
+    """Finds one target, which refuses a call that may be retried, and no other one."""
+
+    def __init__(self):
+        self.targets = [Target("replica", None, None)]
+
+    async def find_target(self, call, body, history):
+        if self.targets:
+            return self.targets.pop()
+        raise not_run_refusal(Reason.NO_UPSTREAM, "no target is left")
+
+    async def send_attempt(self, target, call, body, history):
+        raise not_run_refusal(Reason.UPSTREAM_REFUSED)
+
+    def may_retry(self, call, refusal, history):
+        return True
+
+
 class ReleasedTaskTest(TestCase):
     def check(self, function):
         """Check that a task frees a body that it holds when it is over."""
@@ -79,3 +98,14 @@
             (await curio.current_task()).body = body
 
         self.check(ask)
+
+    def test_refused(self):
+        """Guards against a refusal that keeps the body of its call."""
+
+        async def run(body):
+            try:
+                await run_attempts(RefusingPolicy(), None, body, AttemptHistory())
+            except Refusal:
+                return
+
+        self.check(run)
