Count failed subtests as a failure of their test

The entries hold the ids of tests, and a subtest has another one, with its parameters; a test that failed in two subtests was also taken for two.

Change: the runner records the test of a subtest, once. What is passed over stays exactly what is listed; no entry of today's list has subtests.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -34,10 +34,12 @@
         self.count += 1
 
     def testOutcome(self, event) -> None:
-        """Record a failed test or subtest."""
+        """Record a failed test, also one that fails in subtests."""
         failed_subtest = event.outcome == "subtest" and event.exc_info is not None
         if failed_subtest or event.outcome in ("failed", "error"):
-            self.failed.append(event.test.id())
+            name = getattr(event.test, "test_case", event.test).id()
+            if name not in self.failed:
+                self.failed.append(name)
 
 
 def main() -> int:
