Bound what streams hold that callers don't take

Cause: for each such stream the kernel held up to 57 KB from the replica, in a receive buffer of 32 KB asked, and about 25 KB for the caller; 15.5 MB of the 22.4 were there.

Change: the receive buffer of links to replicas is 8 KB, reads of answers have 4 KB, and what is not on its way to a client is bounded at 4 KB and a write (TCP_NOTSENT_LOWAT). An answer with an announced length over 64 KB gets a buffer of 64 KB until its end: its bytes count in the budget of held memory, and 4 MB would take 290 round trips otherwise (computed). 4 KB for links to replicas was tried and not taken, since short segments fill such a buffer with their overhead.

Crowds: unread_streams and reconnecting (190 connections that are reset within a body and opened again, 20 times) are new, with the bounds of the others. unread_streams was begun with 190 connections and as many slots: an ordinary order then had no slot, and 2 x 190 descriptors and those of the host itself pass the bound of 390 whatever the host does.

--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -12,7 +12,7 @@
     Reason,
     not_run_refusal,
 )
-from sassafraskeel.core.net import Stream
+from sassafraskeel.core.net import READ_SIZE_BYTES, Stream
 from sassafraskeel.core.types import Headers, ResponseHead
 from sassafraskeel.core.work_limits import (
     ANSWER_WORK,
@@ -24,6 +24,8 @@
 )
 
 MAX_HEADER_BYTES = 32 * 1024
+# A stream whose caller takes nothing holds what was read of it last, in some copies.
+ANSWER_READ_BYTES = 4096
 # Chunks that are parsed before other tasks get their turn. Chunks of one byte cost as
 # much as long ones.
 MAX_CHUNKS_IN_TURN = 64
@@ -79,6 +81,7 @@
         self.stream = stream
         self._clock = clock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._read_bytes = READ_SIZE_BYTES if role is h11.SERVER else ANSWER_READ_BYTES
         self._pending = None
         self._stream_ended = False
         self._has_more_chunks = False
@@ -111,7 +114,7 @@
                     self._start_counting()
                 return event
             self._count_overhead()
-            data = await self.stream.read()
+            data = await self.stream.read(self._read_bytes)
             self._stream_ended = not data
             self.bytes_received += len(data)
             self._uncounted_bytes += len(data)
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -19,6 +19,7 @@
 )
 from sassafraskeel.core.net import (
     LINK_BUFFERS,
+    LONG_ANSWER_BUFFERS,
     Address,
     BufferSizes,
     Network,
@@ -41,10 +42,11 @@
     or None if the server did not send the time. `number` is that of the pool that
     opened the connection, and `request_count` counts the requests sent so far.
     `call_ids` are the calls that were sent over it, if its user records them, with
-    digests in place of long ids.
+    digests in place of long ids. `buffers` are those of the connection except during a
+    long answer.
     """
 
-    def __init__(self, address: Address, stream, clock: Clock):
+    def __init__(self, address: Address, stream, clock: Clock, buffers: BufferSizes):
         self.address = address
         self.number = 0
         self.request_count = 0
@@ -53,6 +55,8 @@
         self.keep_alive_seconds: float | None = None
         # Whether the end of the connection ends the current answer.
         self.is_close_delimited = False
+        self._buffers = buffers
+        self._has_long_answer = False
         self._http = HttpConnection(stream, h11.CLIENT, clock)
         self._method = ""
         self._bytes_before_request = 0
@@ -91,6 +95,11 @@
             raise ProtocolError(f"{event.status_code} is no status code")
         self._check_framing(event, allow_close_delimited)
         self._record_keep_alive(event)
+        length = int(find_header(event.headers, b"content-length") or 0)
+        self._has_long_answer = length > LONG_ANSWER_BUFFERS.receive
+        if self._has_long_answer:
+            wider = max(self._buffers, LONG_ANSWER_BUFFERS)
+            self._http.stream.set_buffers(wider)
         return ResponseHead(event.status_code, strip_hop_by_hop(event.headers))
 
     async def receive_data(self) -> bytes:
@@ -124,6 +133,8 @@
         if state.trailing_data[0]:
             return False
         state.start_next_cycle()
+        if self._has_long_answer:
+            self._http.stream.set_buffers(self._buffers)
         return True
 
     async def is_open_and_idle(self, clock: Clock) -> bool:
@@ -184,7 +195,7 @@
 ) -> ClientConnection:
     """Open a client connection; raise ConnectionLost."""
     stream = await network.connect(address, buffers=buffers)
-    return ClientConnection(address, stream, clock)
+    return ClientConnection(address, stream, clock, buffers)
 
 
 async def request_once(
--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -47,8 +47,10 @@
 # counts as memory of the host. Bodies of some tens of KB still arrive in a few round
 # trips.
 CLIENT_BUFFERS = BufferSizes(16 * 1024, 16 * 1024)
-# Replicas are near, and callers that don't read their answers leave these ones full.
-UPSTREAM_BUFFERS = BufferSizes(32 * 1024, 64 * 1024)
+# Replicas are near, and callers that don't read their streams leave these ones full.
+UPSTREAM_BUFFERS = BufferSizes(8 * 1024, 64 * 1024)
+# For the rest of a long answer, which the host has room for as a whole.
+LONG_ANSWER_BUFFERS = BufferSizes(64 * 1024, 64 * 1024)
 # Between regions, a round trip of 160 ms carries no more than the buffer.
 LINK_BUFFERS = BufferSizes(192 * 1024, 192 * 1024)
 
@@ -62,6 +64,9 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 5000),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
+# Of what a client doesn't take, the kernel accepts little more than one write; the send
+# buffer then bounds what is on its way.
+UNSENT_BYTES = 4096
 # The option to linger for zero seconds, with which a close sends a reset.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -346,6 +351,7 @@
             # Accepted sockets inherit the sizes; what has arrived on one before it is
             # accepted can't be taken back.
             _set_buffers(sock, CLIENT_BUFFERS)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
             sock.bind(address)
             sock.listen(LISTEN_BACKLOG)
         except OSError as exc:
--- a/sassafraskeel/emulators/replica.py
+++ b/sassafraskeel/emulators/replica.py
@@ -31,8 +31,10 @@
 # Time between a part of an answer and the crash of a replica.
 CRASH_DELAY_SECONDS = 0.005
 BOOT_SECONDS = 0.2
-# The plain answers below this path are long.
+# The answers below these paths are long.
 LONG_PATH = "/read/long"
+LONG_STREAM_PATH = "/stream/draft/long"
+LONG_EVENT_BYTES = 1000
 
 
 class Boot(NamedTuple):
@@ -91,7 +93,8 @@
     `copy_refusals` counts the next refusals of which a copy comes where the next answer
     on their connection is due, without the request id if `copies_have_id` is False.
     `random_refusals` adds refusals and copies at random. Plain answers below LONG_PATH
-    have `answer_bytes` more than others.
+    have `answer_bytes` more than others, and streams below LONG_STREAM_PATH have as
+    many in events of LONG_EVENT_BYTES.
     `name` is the instance id of the replica; requests that expect another instance are
     answered with 421. `version` is the version of its software in its entry.
     """
@@ -308,10 +311,14 @@
     async def _stream(self, run_number: int, last_event_id: int, crashes: bool):
         self.running += 1
         writer = f"{self.name} {self.boot.software}"
+        event_count = self.event_count
+        if self.runs[run_number].path.startswith(LONG_STREAM_PATH):
+            event_count = self.answer_bytes // LONG_EVENT_BYTES
+            writer = writer.ljust(LONG_EVENT_BYTES)
         try:
             if crashes and not self.crash_events:
                 await self._crash()
-            for number in range(last_event_id + 1, self.event_count + 1):
+            for number in range(last_event_id + 1, event_count + 1):
                 if crashes and number > last_event_id + self.crash_events:
                     await self._crash()
                 if self.crash_after is not None and number > self.crash_after:
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -87,6 +87,7 @@
     """One end of a connection in memory."""
 
     def __init__(self, faults=None, node=""):
+        self.buffers = None
         self.peer = None
         self.written = 0
         self.node = node
@@ -172,7 +173,7 @@
         await self.close()
 
     def set_buffers(self, buffers) -> None:
-        return None
+        self.buffers = buffers
 
     def _lose_if_cut(self) -> bool:
         if self._faults.is_cut(self.node, self.peer.node):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -82,6 +82,14 @@
         """Guards against memory for answers that callers don't read."""
         self.check("unread_answers")
 
+    def test_unread_streams(self):
+        """Guards against memory for streams that callers don't read."""
+        self.check("unread_streams")
+
+    def test_reconnecting(self):
+        """Guards against memory for connections that come and go without end."""
+        self.check("reconnecting")
+
     def test_unauthorized_links(self):
         """Guards against memory for messages before the token is checked."""
         self.check("unauthorized_links")
--- a/tools/crowd.py
+++ b/tools/crowd.py
@@ -67,8 +67,9 @@
 
     `sent` returns what a connection sends, by its number, one piece after the other.
     With `in_turn` a piece is sent after the answer to the one before it. Connections
-    that don't `read` leave answers in the buffers of the kernel. Replicas take
-    `delay_ms` for an answer, and for each event of a stream.
+    that don't `read` leave answers in the buffers of the kernel. One that has sent all
+    is reset and opened again for the remaining `rounds`. Replicas take `delay_ms` for
+    an answer, and for each event of a stream, and have `slots`.
     """
 
     name: str
@@ -78,6 +79,8 @@
     in_turn: bool = False
     reads: bool = True
     delay_ms: float = 1.0
+    rounds: int = 1
+    slots: int = 8
 
 
 class Usage(NamedTuple):
@@ -171,6 +174,11 @@
     yield f"{head}\r\n".encode()
 
 
+def unread_stream(number: int) -> Iterator[bytes]:
+    """Send a call whose answer is a long stream."""
+    yield request(number, "Content-Length: 0", "/stream/draft/long")
+
+
 def unauthorized_frame(number: int) -> Iterator[bytes]:
     """Open a link between hosts with a long message that is not finished."""
     yield HANDSHAKE
@@ -195,6 +203,14 @@
     Crowd("long_prompt_parts", long_prompt_parts, connections=16, in_turn=True),
     Crowd("long_ids", long_ids, connections=16, in_turn=True),
     Crowd("unread_answers", unread_answers, reads=False),
+    Crowd(
+        "unread_streams",
+        unread_stream,
+        reads=False,
+        slots=MAX_CONNECTIONS,
+        connections=180,
+    ),
+    Crowd("reconnecting", chunked(65_536, 2), rounds=20),
     Crowd("unauthorized_links", unauthorized_frame, ("gateways",)),
     Crowd("silent_connections", silent, LISTENERS),
 )
@@ -210,8 +226,9 @@
             delay_ms=crowd.delay_ms,
             settings=SETTINGS,
             limits={"maxBodyBytes": MAX_BODY_BYTES},
-            engine={"slots": 8, "kvCapacityTokens": 100_000},
+            engine={"slots": crowd.slots, "kvCapacityTokens": 100_000},
             answer_bytes=ANSWER_BYTES,
+            slots=crowd.slots,
         )
         self.host: HostProcess = self.cluster.hosts[0]
 
@@ -276,21 +293,40 @@
 
     def __init__(self, crowd: Crowd, address, number: int):
         self._crowd = crowd
-        self._pieces = iter(crowd.sent(number))
+        self._address = address
+        self._number = number
+        self._rounds_left = crowd.rounds
+        self.open()
+
+    def open(self) -> None:
+        """Open a new connection, which sends all from the beginning."""
+        self._rounds_left -= 1
+        self._pieces = iter(self._crowd.sent(self._number))
         self._unsent = memoryview(b"")
         self._is_answered = True
         self._received = b""
         self.sock = socket.socket()
         self.sock.setblocking(False)
-        if not crowd.reads:
+        if not self._crowd.reads:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        self.is_open = self.sock.connect_ex(address) in (0, errno.EINPROGRESS)
+        self.is_open = self.sock.connect_ex(self._address) in (0, errno.EINPROGRESS)
+        self.has_sent_all = False
+
+    def close(self) -> None:
+        """Reset the connection; one that has unread bytes would be reset anyway."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.sock.close()
+
+    def is_round_over(self) -> bool:
+        """Return whether the connection is over and another one is to be opened."""
+        return bool(self._rounds_left) and (self.has_sent_all or not self.is_open)
 
     def events(self) -> int:
         """Return what the connection waits for."""
         events = selectors.EVENT_READ if self._crowd.reads else 0
         if not self._unsent and self._is_answered:
             self._unsent = memoryview(next(self._pieces, b""))
+            self.has_sent_all = not self._unsent
             self._is_answered = not (self._crowd.in_turn and self._unsent)
         return events | (selectors.EVENT_WRITE if self._unsent else 0)
 
@@ -336,9 +372,7 @@
 
     def __exit__(self, *exc_info):
         for client in self._clients:
-            # A connection that is closed with unread bytes is reset anyway.
-            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-            client.sock.close()
+            client.close()
         self._selector.close()
 
     def sample(self) -> None:
@@ -364,6 +398,13 @@
     def _register(self, client: _Client, waiting: dict[_Client, int]) -> None:
         """Wait for what a connection needs, no longer for one that was closed."""
         events = client.events() if client.is_open else 0
+        if client.is_round_over():
+            if waiting[client]:
+                self._selector.unregister(client.sock)
+            waiting[client] = 0
+            client.close()
+            client.open()
+            return
         if events == waiting[client]:
             return
         if not waiting[client]:
--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -134,8 +134,8 @@
     event of a stream. The replicas have the software `versions` in turn. `settings` are
     further sections of the settings of hosts, `limits` those of the manifest, and
     `engine` is the one of its service.
-    The answers of replicas to calls below emulators.replica.LONG_PATH have
-    `answer_bytes` more than others.
+    The answers of replicas to calls below the long paths of emulators.replica have
+    `answer_bytes` more than others, and replicas have `slots`.
     """
 
     def __init__(
@@ -147,6 +147,7 @@
         limits: dict[str, int] | None = None,
         engine: dict[str, int] | None = None,
         answer_bytes: int = 0,
+        slots: int = 8,
     ):
         self._folder = tempfile.TemporaryDirectory(prefix="sassafraskeel-")
         self.folder = Path(self._folder.name)
@@ -163,6 +164,7 @@
         self._limits = limits or {}
         self._engine = engine
         self._answer_bytes = answer_bytes
+        self._slots = slots
         versions_in_turn = itertools.cycle(versions)
         for zone, (hosts, replicas) in zones.items():
             for number in range(hosts):
@@ -182,7 +184,8 @@
             self.start_replica(replica)
         self._wait("the store", lambda: self.write("op/config", self.manifest()))
         for replica in self.replicas:
-            self.write(f"servers/{replica.name}", replica_entry(replica))
+            entry = replica_entry(replica, slots=self._slots)
+            self.write(f"servers/{replica.name}", entry)
         for host in self.hosts:
             self.start_host(host)
         for replica in self.replicas:
@@ -322,7 +325,10 @@
 
 
 def replica_entry(
-    replica: ReplicaProcess, state: str = "ready", boot: Boot | None = None
+    replica: ReplicaProcess,
+    state: str = "ready",
+    boot: Boot | None = None,
+    slots: int = 8,
 ) -> bytes:
     """Return the store's entry of a replica, as JSON."""
     boot = boot or Boot(replica.name, replica.version)
@@ -330,7 +336,7 @@
         "service": "desk",
         "address": replica.address,
         "zone": replica.zone,
-        "slots": 8,
+        "slots": slots,
         "state": state,
         "coldRemainingMs": 0,
         "seqNo": next(ENTRY_NUMBERS),
