Let no connection without the token keep operators out

Seen: with 64 connections that are silent, have begun a head, or were refused for their token, an operator's request failed with a closed connection, for up to 60 s and as often as a client repeats it.

Cause: the operators' listener closed each connection beyond its 64, while the listeners of callers close the one that has been idle longest.

Change: at the limit, the connection that has waited longest for a request with the token is closed. Requests with the token are never among these. The check that a task does not run at the moment moved to core/tasks.py, as callers/connection.py uses it, too.

--- a/sassafraskeel/callers/connection.py
+++ b/sassafraskeel/callers/connection.py
@@ -12,12 +12,10 @@
 from sassafraskeel.core.held_memory import MemoryBudget
 from sassafraskeel.core.http import HttpConnection
 from sassafraskeel.core.net import Stream
+from sassafraskeel.core.tasks import is_blocked
 from sassafraskeel.core.watched_stream import WatchedStream
 from sassafraskeel.core.work_limits import WorkLimit
 
-# The state of a curio task that runs as soon as the tasks before it have blocked.
-READY_STATE = "READY"
-
 
 class AnswerNotTaken(curio.CancelledError):
     """Cancels a task whose caller takes no answer while others need its room."""
@@ -82,17 +80,17 @@
 def is_idle(conn: CallerConnection, task: curio.Task) -> bool:
     """Return whether a connection waits for a request, of which nothing has arrived.
 
-    A task that is ready may have bytes of a request to read. It would be cancelled at
-    its next blocking operation, in the middle of that call.
+    A task that is about to run may have bytes of a request to read, and would be
+    cancelled in the middle of that call.
     """
-    return conn.idle and task.state != READY_STATE
+    return conn.idle and is_blocked(task)
 
 
 def has_stalled(conn: CallerConnection, task: curio.Task, now: float) -> bool:
     """Return whether a connection waits for a caller that has stalled.
 
-    A task that is ready would be cancelled later, as for an idle connection.
+    A task that is about to run would be cancelled later, as for an idle connection.
     """
-    if conn.wait is None or task.state == READY_STATE:
+    if conn.wait is None or not is_blocked(task):
         return False
     return now - conn.wait.since >= conn.wait.limit
--- a/sassafraskeel/core/tasks.py
+++ b/sassafraskeel/core/tasks.py
@@ -7,6 +7,8 @@
 from sassafraskeel.core.clock import Clock
 
 RESTART_SECONDS = 0.5
+# The state of a curio task that runs as soon as the tasks before it have blocked.
+READY_STATE = "READY"
 
 
 class ReleasingTask(curio.Task):
@@ -40,6 +42,15 @@
         curio.Task.exception.fset(self, value)
 
 
+def is_blocked(task: curio.Task) -> bool:
+    """Return whether a task waits for something.
+
+    One that is about to run would be cancelled at its next blocking operation, whatever
+    it does there.
+    """
+    return task.state != READY_STATE
+
+
 def run_kernel(function, *args, activations=()):
     """Run a coroutine function whose tasks free what they held; return its result."""
     return curio.run(
--- a/sassafraskeel/operators/server.py
+++ b/sassafraskeel/operators/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import curio
 import h11
 
 from sassafraskeel.callers.refusals import JSON_HEADER, encode_refusal
@@ -30,7 +31,7 @@
 from sassafraskeel.core.log import LogSink
 from sassafraskeel.core.net import Network, Stream
 from sassafraskeel.core.settings import OperatorSection
-from sassafraskeel.core.tasks import SupervisedTaskGroup
+from sassafraskeel.core.tasks import SupervisedTaskGroup, is_blocked
 from sassafraskeel.core.types import ResponseHead
 from sassafraskeel.core.watched_stream import WatchedStream
 
@@ -70,6 +71,9 @@
         self._memory = MemoryBudget(MAX_HELD_BYTES)
         self._listener = None
         self._open_connections = 0
+        # When the tasks began to wait for a request with the token, in monotonic
+        # seconds.
+        self._waiting_since: dict[curio.Task, float] = {}
 
     async def listen(self):
         """Open the listener and return its address."""
@@ -92,12 +96,23 @@
             stream = await accept_next(self._listener, self._clock, self._log)
             if stream is None:
                 return
+            if self._open_connections >= MAX_CONNECTIONS:
+                await self._close_longest_waiting()
             if self._open_connections >= MAX_CONNECTIONS:
                 await stream.close()
                 continue
             self._open_connections += 1
             await group.spawn(self._handle_connection, stream)
 
+    async def _close_longest_waiting(self) -> None:
+        """Close the connection that has waited longest for a request with the token.
+
+        Otherwise clients without a token keep operators out.
+        """
+        waiting = [task for task in self._waiting_since if is_blocked(task)]
+        if waiting:
+            await min(waiting, key=self._waiting_since.get).cancel()
+
     async def _handle_connection(self, accepted: Stream) -> None:
         stream = WatchedStream(accepted)
         http = HttpConnection(stream, h11.SERVER, self._clock)
@@ -111,9 +126,11 @@
             return  # The operator disconnected, so that no answer can be sent.
         finally:
             self._open_connections -= 1
+            self._waiting_since.pop(await curio.current_task(), None)
             await http.close()
 
     async def _serve_request(self, http, stream, held: HeldMemory) -> bool:
+        self._waiting_since[await curio.current_task()] = self._clock.monotonic()
         if not await wait_for_request(http, stream, self._clock, TIMEOUTS.idle):
             return False
         try:
@@ -134,6 +151,7 @@
         if not self._is_authorized(request):
             self._log.emit(Event.OPERATOR_REJECTED, detail="missing or wrong token")
             return UNAUTHORIZED, b'{"error": "a bearer token is required"}'
+        del self._waiting_since[await curio.current_task()]
         await receive_body(http, self._clock, TIMEOUTS, 0)
         requested = request.method, request.target
         if requested == (b"GET", b"/status"):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -21,6 +21,7 @@
 from sassafraskeel.operators.burn_report import burn_page, burn_result, collect_burn
 from sassafraskeel.operators.client import HostAnswers, OperatorClient
 from sassafraskeel.operators.results import EXIT_DONE, EXIT_NOT_DONE
+from sassafraskeel.operators.server import MAX_CONNECTIONS
 from sassafraskeel.operators.status_commands import _DrainHostCommand, status_result
 from tests.support.clock import run_virtual
 from tests.test_callers_server import CHAT, chat
@@ -51,6 +52,25 @@
         head, _ = await world.call(0, "GET", "/status")
         self.assertEqual(head.status, 400)
 
+    @with_world
+    async def test_crowds_without_token(self, world):
+        """Guards against connections without a token that keep operators out."""
+        address = self.addresses(world)[0]
+        for data in (b"", b"GET /sta", b"GET /status HTTP/1.1\r\nhost: a\r\n\r\n"):
+            with self.subTest(data=data):
+                streams = []
+                for _ in range(MAX_CONNECTIONS + 4):
+                    streams.append(await world.network.connect(address))
+                    if data:
+                        await streams[-1].write(data)
+                await world.clock.sleep(0.1)
+                client = self.client(world)
+                answer = await client.request(address, "GET", "/status")
+                self.assertIn("host", answer)
+                for stream in streams:
+                    await stream.close()
+                await world.clock.sleep(0.1)
+
     @with_world
     async def test_status_and_drain(self, world):
         """Guards against a status that omits a host, and a drain of the wrong host."""
