End the processes of a deployment that does not get ready

Cause: __exit__ is not called when __enter__ raises.

Measured: tests.test_route_cluster failed before (store and replica ran on).

--- a/tools/route_cluster.py
+++ b/tools/route_cluster.py
@@ -179,6 +179,14 @@
                 )
 
     def __enter__(self):
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def _start_all(self) -> None:
         self.start_store()
         for replica in self.replicas:
             self.start_replica(replica)
@@ -192,7 +200,6 @@
             self._wait(replica.name, lambda replica=replica: _is_listening(replica))
         for host in self.hosts:
             self.wait_ready(host)
-        return self
 
     def __exit__(self, *exc_info):
         self.close()
