Bound the prompt parts of all replicas together

Seen: found on the table of docs/CAPACITY.md. The parts that a host records have a bound for each replica, 4,096, and none for a region. With 256 parts without tokens in a request, 16 requests a replica fill all of it: 29 MB at the 35 replicas of the users' large site and 67 MB at 80 (a process with the table alone).

Change: at most 32,768 parts are recorded. Beyond them, the replica with the most parts loses its least recently used ones, so that replicas with sound prompts keep theirs; at 80 replicas each may have the 409 parts that fill a KV cache of the large site at 628 tokens.

--- a/sassafraskeel/decisions/prompt_caches.py
+++ b/sassafraskeel/decisions/prompt_caches.py
@@ -8,6 +8,9 @@
 
 # Parts recorded for each replica; its KV cache holds fewer.
 MAX_PARTS = 4096
+# Parts recorded for all replicas, 209 bytes each. At 80 replicas of a region, each may
+# have 409, as many as fill a KV cache of 256,000 tokens with 628 tokens each.
+MAX_ALL_PARTS = 32_768
 
 
 class PromptCaches:
@@ -31,6 +34,20 @@
         kept = sum(known.values())
         while known and (len(known) > MAX_PARTS or kept > kv_cache_tokens):
             kept -= known.popitem(last=False)[1]
+        self._drop_excess()
+
+    def _drop_excess(self) -> None:
+        """Drop parts of the replica that has the most of them while there are too many.
+
+        Parts without tokens fill no KV cache, so that clients could fill the tables of
+        all replicas.
+        """
+        excess = sum(len(parts) for parts in self._parts.values()) - MAX_ALL_PARTS
+        while excess > 0:
+            largest = max(self._parts.values(), key=len)
+            for _ in range(min(excess, len(largest))):
+                largest.popitem(last=False)
+                excess -= 1
 
     def cached_tokens(self, replica: str, prompt: Prompt) -> int:
         """Return the estimated number of leading tokens that a replica has cached."""
--- a/tests/test_prompt_caches.py
+++ b/tests/test_prompt_caches.py
@@ -4,6 +4,7 @@
 
 from sassafraskeel.core.types import Prompt, PromptPart
 from sassafraskeel.decisions.prompt_caches import (
+    MAX_ALL_PARTS,
     MAX_PARTS,
     PromptCaches,
     preferred_replica,
@@ -37,6 +38,20 @@
             self.caches.record_prompt("r-1", prompt((f"p-{number}", 0)), MEMORY)
         self.assertEqual(len(self.caches._parts["r-1"]), MAX_PARTS)
 
+    def test_bound_of_all(self):
+        """Guards against a table that grows with the replicas of a region.
+
+        Clients choose names, and parts without tokens fill no KV cache.
+        """
+        self.caches.record_prompt("r-sound", LONG, MEMORY)
+        for replica in range(80):
+            for number in range(16):
+                parts = ((f"{replica}-{number}-{part}", 0) for part in range(256))
+                self.caches.record_prompt(f"r-{replica}", prompt(*parts), MEMORY)
+        kept = sum(len(parts) for parts in self.caches._parts.values())
+        self.assertLessEqual(kept, MAX_ALL_PARTS)
+        self.assertEqual(self.caches.cached_tokens("r-sound", LONG), 2400)
+
     def test_long_names(self):
         """Guards against calls that fail because their parts have long names."""
         replicas = ["r-1", "r-2", "r-3"]
