Count the tables of a host at their bounds in its capacity

Seen: the capacity of a host left 10 MB of its machine for its tables. Full tables of origins take 33 MB (65,536 with ids of 200 characters, measured) and of prompt parts 15 MB; docs/CAPACITY.md listed the first as open.

Change: 105 MB of a machine are set aside for the host and its tables instead of 60, so that it takes fewer connections and bodies: 415 callers and 19 MB on a machine of 200 MB (612 and 28 MB before), 853 and 39 MB on 300 MB (1,050 and 40 MB). On machines where less than 20 MB remain, connections and bodies get 20 MB.

Measured: test_small_machine fails without that minimum; test_machines checks the sum on four machines.

--- a/sassafraskeel/core/capacity.py
+++ b/sassafraskeel/core/capacity.py
@@ -5,8 +5,11 @@
 
 from typing import NamedTuple
 
-# A host without calls, and its tables.
-HOST_BYTES = 60_000_000
+# A host without calls takes 50 MB, and its tables at their bounds 55 MB, of which
+# clients can fill 33 MB with the origins of streams and 15 MB with parts of prompts.
+HOST_BYTES = 105_000_000
+# On a machine that is too small for that, tables that are not full leave this much.
+MIN_SPARE_BYTES = 20_000_000
 # A connection with its tasks, what is read of it at once, what its request holds
 # without counting, and what waits in the kernel.
 CONNECTION_BYTES = 64_000
@@ -40,7 +43,7 @@
 
 def host_capacity(memory_bytes: float, descriptors: int) -> Capacity:
     """Return the limits of a host on a machine."""
-    spare = memory_bytes - HOST_BYTES
+    spare = max(memory_bytes - HOST_BYTES, MIN_SPARE_BYTES)
     connections = min(
         CONNECTION_SHARE * spare / CONNECTION_BYTES,
         SOCKET_SHARE * (descriptors - FILE_DESCRIPTORS),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -31,6 +31,12 @@
                 self.assertLessEqual(2 * connections, descriptors - FILE_DESCRIPTORS)
                 self.assertGreater(capacity.held_bytes, LARGEST_BODY)
 
+    def test_small_machine(self):
+        """Guards against a host on a small machine that takes no bodies."""
+        capacity = host_capacity(100e6, 4100)
+        self.assertGreater(capacity.callers, 50)
+        self.assertGreater(capacity.held_bytes, 3_000_000)
+
     def test_settings(self):
         """Guards against settings that raise a limit, or that are ignored."""
         capacity = host_capacity(160e6, 4100)
