Part the crowds from what sends them

What the crowds send, a table and the pieces it needs, moved to tools/crowds.py unchanged; two comments of core/tasks.py and core/net.py were mended beside it.

--- a/sassafraskeel/core/net.py
+++ b/sassafraskeel/core/net.py
@@ -48,6 +48,7 @@
 # trips.
 CLIENT_BUFFERS = BufferSizes(16 * 1024, 16 * 1024)
 # Replicas are near, and callers that don't read their streams leave these ones full.
+# Less than 8 KB would fill with the overhead of short segments.
 UPSTREAM_BUFFERS = BufferSizes(8 * 1024, 64 * 1024)
 # For the rest of a long answer, which the host has room for as a whole.
 LONG_ANSWER_BUFFERS = BufferSizes(64 * 1024, 64 * 1024)
--- a/sassafraskeel/core/tasks.py
+++ b/sassafraskeel/core/tasks.py
@@ -27,9 +27,8 @@
         try:
             return self._throw(value)
         finally:
-            del (
-                value
-            )  # The traceback of an exception that ends the task has this frame.
+            # An exception that ends the task has this frame in its traceback.
+            del value
 
     @property
     def exception(self):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -1,19 +1,14 @@
 """Hosts beside crowds of clients that don't keep to their limits (issue 51).
 
-Each test starts a host, sends a crowd of tools.crowd twice, since the second one starts
+Each test starts a host, sends a crowd of tools.crowds twice, since the second starts
 from the memory that the first one has left, and checks that the host lives within a
 tenth of the smallest machine and serves ordinary callers.
 """
 
 from unittest import TestCase
 
-from tools.crowd import (
-    CROWDS,
-    MAX_BODY_BYTES,
-    MAX_GROWTH_BYTES,
-    MAX_SOCKETS,
-    CrowdHost,
-)
+from tools.crowd import MAX_GROWTH_BYTES, MAX_SOCKETS, CrowdHost
+from tools.crowds import CROWDS, MAX_BODY_BYTES
 
 # A host keeps idle connections to replicas, at most two for each slot.
 IDLE_MARGIN = 16
