--- a/sassafraskeel/callers/connection.py
+++ b/sassafraskeel/callers/connection.py
@@ -1,4 +1,4 @@
-"""A connection of a caller, with what is known of it while it is served."""
+"""The connections of callers, with what is known of each while it is served."""
 
 from typing import NamedTuple
 
@@ -94,3 +94,65 @@
     if conn.wait is None or not is_blocked(task):
         return False
     return now - conn.wait.since >= conn.wait.limit
+
+
+class OpenConnections:
+    """The open connections of a server and their tasks."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._tasks: dict[CallerConnection, curio.Task] = {}
+        # Set after a connection was removed and closed.
+        self.removed = curio.Event()
+
+    def add(self, conn: CallerConnection, task: curio.Task) -> None:
+        """Add a connection that a task serves."""
+        self._tasks[conn] = task
+
+    def remove(self, conn: CallerConnection) -> None:
+        """Remove a connection; set `removed` once it is closed."""
+        del self._tasks[conn]
+
+    async def wait_empty(self) -> None:
+        """Wait without a time limit until no connection is open."""
+        while self._tasks:
+            self.removed.clear()
+            await self.removed.wait()
+
+    async def close_idle(self) -> None:
+        """Close the connections that wait for their next request."""
+        unchecked = list(self._tasks.items())
+        while unchecked:
+            ready = []
+            for conn, task in unchecked:
+                if is_idle(conn, task):
+                    await task.cancel(blocking=False)
+                elif conn.idle:
+                    ready.append((conn, task))
+            unchecked = ready
+            if unchecked:
+                await curio.sleep(0)
+
+    async def close_idlest(self) -> None:
+        """Close the connection that has waited longest for a request, if there is one.
+
+        Otherwise connections that send nothing keep all others out. Clients send their
+        request at once, or again if their connection was closed before.
+        """
+        idle = [conn for conn, task in self._tasks.items() if is_idle(conn, task)]
+        if idle:
+            conn = min(idle, key=lambda conn: conn.idle_since)
+            conn.idle = False
+            await self._tasks[conn].cancel(blocking=False)
+
+    async def cancel_stalled(self) -> None:
+        """Cancel the call whose caller has stalled for the longest time, if any."""
+        now = self._clock.monotonic()
+        stalled = [
+            conn for conn, task in self._tasks.items() if has_stalled(conn, task, now)
+        ]
+        if stalled:
+            conn = min(stalled, key=lambda conn: conn.wait.since)
+            cancellation, conn.wait = conn.wait.cancellation, None
+            await self._tasks[conn].cancel(exc=cancellation, blocking=False)
+            await curio.sleep(0)  # The task gives its memory back.
--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -11,8 +11,7 @@
     CallerComponents,
     CallerConnection,
     CallerWait,
-    has_stalled,
-    is_idle,
+    OpenConnections,
 )
 from sassafraskeel.callers.interface import DirectAnswer
 from sassafraskeel.calls.answers import SERVED_BY_HEADER
@@ -85,9 +84,8 @@
         self._interface = components.interface
         self._listener = None
         self._connection_count = 0
-        self._tasks: dict[CallerConnection, curio.Task] = {}
-        self._disconnected = curio.Event()
-        components.memory.on_shortage(self._cancel_stalled)
+        self._open = OpenConnections(clock)
+        components.memory.on_shortage(self._open.cancel_stalled)
 
     async def listen(self):
         """Open the listener and return its address."""
@@ -107,23 +105,11 @@
 
     async def close_idle(self) -> None:
         """Close the connections that wait for their next request."""
-        unchecked = list(self._tasks.items())
-        while unchecked:
-            ready = []
-            for conn, task in unchecked:
-                if is_idle(conn, task):
-                    await task.cancel(blocking=False)
-                elif conn.idle:
-                    ready.append((conn, task))
-            unchecked = ready
-            if unchecked:
-                await curio.sleep(0)
+        await self._open.close_idle()
 
     async def wait_closed(self) -> None:
         """Wait without a time limit until no connection is open."""
-        while self._tasks:
-            self._disconnected.clear()
-            await self._disconnected.wait()
+        await self._open.wait_empty()
 
     async def _accept(self, group: SupervisedTaskGroup) -> None:
         while True:
@@ -131,28 +117,16 @@
             if stream is None:
                 return
             if self._connection_count >= self._max_connections:
-                await self._close_idlest()
+                await self._open.close_idlest()
             if self._connection_count >= (1 + REFUSED_SHARE) * self._max_connections:
                 await stream.close()
                 continue
             self._connection_count += 1
             await group.spawn(self._handle_connection, stream)
 
-    async def _close_idlest(self) -> None:
-        """Close the connection that has waited longest for a request, if there is one.
-
-        Otherwise connections that send nothing keep all others out. Clients send their
-        request at once, or again if their connection was closed before.
-        """
-        idle = [conn for conn, task in self._tasks.items() if is_idle(conn, task)]
-        if idle:
-            conn = min(idle, key=lambda conn: conn.idle_since)
-            conn.idle = False
-            await self._tasks[conn].cancel(blocking=False)
-
     async def _handle_connection(self, accepted: Stream) -> None:
         conn = CallerConnection(accepted, self._clock, self._components)
-        self._tasks[conn] = await curio.current_task()
+        self._open.add(conn, await curio.current_task())
         try:
             if self._connection_count > self._max_connections:
                 await self._refuse_connection(conn)
@@ -175,12 +149,12 @@
                 )
         finally:
             self._connection_count -= 1
-            del self._tasks[conn]
+            self._open.remove(conn)
             if conn.is_answer_close_delimited():
                 await conn.stream.reset()
             conn.held.clear()
             await conn.http.close()
-            await self._disconnected.set()
+            await self._open.removed.set()
 
     async def _refuse_connection(self, conn: CallerConnection) -> None:
         limit = self._max_connections
@@ -356,18 +330,6 @@
         finally:
             conn.wait = None
 
-    async def _cancel_stalled(self) -> None:
-        """Cancel the call whose caller has stalled for the longest time, if any."""
-        now = self._clock.monotonic()
-        stalled = [
-            conn for conn, task in self._tasks.items() if has_stalled(conn, task, now)
-        ]
-        if stalled:
-            conn = min(stalled, key=lambda conn: conn.wait.since)
-            cancellation, conn.wait = conn.wait.cancellation, None
-            await self._tasks[conn].cancel(exc=cancellation, blocking=False)
-            await curio.sleep(0)  # The task gives its memory back.
-
     async def _read_answer(self, answer, record: CallRecord, started: bool) -> bytes:
         try:
             return await answer.read()
