Recognize a flood of tiny events in reads of any size

Cause: the check allowed 4,096 events in a read. On with 8 KB in memory the test fails, too.

Change: more than 256 events in a read that are shorter than any event with data, 7 bytes, are no answer. Sound bursts of the shortest events pass, which the count did not allow at reads of 64 KB. The network in memory reads as much as the real one by default.

Measured: 55 tests of the modules on streams, hostile bytes and callers passed.

--- a/sassafraskeel/calls/event_streams.py
+++ b/sassafraskeel/calls/event_streams.py
@@ -25,9 +25,11 @@
 # How often a stream that stalls, and has no other target, looks for one.
 STALL_CHECK_SECONDS = 0.25
 
-# A replica may send this many events at once after a pause; more are no answer, and
-# checking them would keep the host from its other calls.
-MAX_EVENTS_IN_READ = 4096
+# The shortest event with data has this length. Comments and events without data are
+# shorter; this many of them at once are no answer, and checking them would keep the
+# host from its other calls.
+MIN_EVENT_BYTES = 7
+MAX_TINY_EVENTS = 256
 
 # The bytes of an incomplete match that the end of an event may begin with.
 MAX_EVENT_END_BYTES = 4
@@ -147,11 +149,11 @@
         searched = max(len(self._pending) - MAX_EVENT_END_BYTES, 0)
         count = 0
         for match in EVENT_END.finditer(buffered, searched):
-            if count >= MAX_EVENTS_IN_READ:
-                raise ProtocolError("the stream has too many events at once")
             count += 1
             self._check_event_id(buffered[end : match.end()])
             end = match.end()
+            if count > MAX_TINY_EVENTS and end < MIN_EVENT_BYTES * count:
+                raise ProtocolError("the stream has too many tiny events at once")
             self._needs_event = False
         pieces = count_pieces(count, end)
         if not self._work_limit.spend(pieces, self._clock.monotonic()):
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -8,7 +8,7 @@
 import curio
 
 from sassafraskeel.core.errors import AcceptFailed, ConnectionLost
-from sassafraskeel.core.net import Address
+from sassafraskeel.core.net import READ_SIZE_BYTES, Address
 
 
 class ConnectionBreak(NamedTuple):
@@ -101,7 +101,7 @@
         self._closed = False
         self._changed = curio.Event()
 
-    async def read(self, max_bytes: int = 65536) -> bytes:
+    async def read(self, max_bytes: int = READ_SIZE_BYTES) -> bytes:
         await self._faults.wait(self.node)
         while not self._buffer and not self._ended and not self._closed:
             self._changed.clear()
