Read less at once only from replicas

Seen: nine tests of tests.test_answer_times and tests.test_turns failed in a whole run since the reads of all answers have 4 KB. Their slow callers use the client of the product, and took 16 times as long to read what was left in their window when their host had cut the answer off in time.

Cause: the size followed from the role of the connection. Links between hosts and other clients have no reason to read less.

Change: it follows from the receive buffer, so that links to replicas read 4 KB and others 8 KB. The callers of these tests read up to a window at once, as they did while the network in memory read 64 KB by default; the bounds are unchanged.

--- a/sassafraskeel/core/http.py
+++ b/sassafraskeel/core/http.py
@@ -24,8 +24,6 @@
 )
 
 MAX_HEADER_BYTES = 32 * 1024
-# A stream whose caller takes nothing holds what was read of it last, in some copies.
-ANSWER_READ_BYTES = 4096
 # Chunks that are parsed before other tasks get their turn. Chunks of one byte cost as
 # much as long ones.
 MAX_CHUNKS_IN_TURN = 64
@@ -73,6 +71,7 @@
     """An HTTP connection: the h11 state machine and the underlying stream.
 
     `shared_work` is the limit that it shares with other connections, if there is one.
+    `read_bytes` are read at once.
     """
 
     def __init__(
@@ -81,7 +80,7 @@
         self.stream = stream
         self._clock = clock
         self.h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
-        self._read_bytes = READ_SIZE_BYTES if role is h11.SERVER else ANSWER_READ_BYTES
+        self.read_bytes = READ_SIZE_BYTES
         self._pending = None
         self._stream_ended = False
         self._has_more_chunks = False
@@ -114,7 +113,7 @@
                     self._start_counting()
                 return event
             self._count_overhead()
-            data = await self.stream.read(self._read_bytes)
+            data = await self.stream.read(self.read_bytes)
             self._stream_ended = not data
             self.bytes_received += len(data)
             self._uncounted_bytes += len(data)
--- a/sassafraskeel/core/http_client.py
+++ b/sassafraskeel/core/http_client.py
@@ -20,6 +20,7 @@
 from sassafraskeel.core.net import (
     LINK_BUFFERS,
     LONG_ANSWER_BUFFERS,
+    READ_SIZE_BYTES,
     Address,
     BufferSizes,
     Network,
@@ -58,6 +59,8 @@
         self._buffers = buffers
         self._has_long_answer = False
         self._http = HttpConnection(stream, h11.CLIENT, clock)
+        # A stream whose caller takes nothing holds its last read, in some copies.
+        self._http.read_bytes = min(READ_SIZE_BYTES, buffers.receive // 2)
         self._method = ""
         self._bytes_before_request = 0
 
