Count what arrived with a head in the bytes that are read ahead

Cause: of each connection up to 4 KB that arrived with the head waited in h11, and up to 4 KB more were read beside the call. The bound is meant for what the next request may send before the answer, which is both.

--- a/sassafraskeel/callers/server.py
+++ b/sassafraskeel/callers/server.py
@@ -283,7 +283,9 @@
 
     async def _run_call(self, conn, record: CallRecord, body: bytes) -> None:
         dispatcher = self._components.dispatcher
-        async with conn.stream.watch(is_cancelled_with_caller(record.call)):
+        is_cancelled = is_cancelled_with_caller(record.call)
+        ahead_bytes = len(conn.http.h11.trailing_data[0])
+        async with conn.stream.watch(is_cancelled, ahead_bytes):
             answer = await self._components.recorder.run(record, dispatcher, body)
             try:
                 await self._relay_in_time(conn, record, answer)
--- a/sassafraskeel/core/watched_stream.py
+++ b/sassafraskeel/core/watched_stream.py
@@ -53,21 +53,27 @@
             self._ended = not data
         return not self._ended
 
-    def watch(self, cancel_on_disconnect: bool) -> "DisconnectWatch":
+    def watch(
+        self, cancel_on_disconnect: bool, ahead_bytes: int = 0
+    ) -> "DisconnectWatch":
         """Return a context manager that raises PeerLeft in its body on a disconnect.
 
         Without `cancel_on_disconnect` the body is not interrupted: an order that runs
-        cannot be undone, and its caller may ask for the result again.
+        cannot be undone, and its caller may ask for the result again. `ahead_bytes`
+        have been read already and count in MAX_READ_AHEAD_BYTES.
         """
-        return DisconnectWatch(self, cancel_on_disconnect)
+        return DisconnectWatch(self, cancel_on_disconnect, ahead_bytes)
 
 
 class DisconnectWatch:
     """Reads ahead in a task and cancels the watched task at the end of the stream."""
 
-    def __init__(self, stream: WatchedStream, cancel_on_disconnect: bool):
+    def __init__(
+        self, stream: WatchedStream, cancel_on_disconnect: bool, ahead_bytes: int
+    ):
         self._stream = stream
         self._cancel_on_disconnect = cancel_on_disconnect
+        self._max_unread = MAX_READ_AHEAD_BYTES - ahead_bytes
         self._watched_task = None
         self._reading_task = None
 
@@ -79,7 +85,7 @@
 
     async def _read(self):
         try:
-            while (room := MAX_READ_AHEAD_BYTES - len(self._stream.unread)) > 0:
+            while (room := self._max_unread - len(self._stream.unread)) > 0:
                 if not await self._stream.read_ahead(room):
                     break
             else:
